Spread moved generations over all engines with room

A copy given up after 1.8 s went on there and had the next refused with 409.

Ruled out: late notice (the first copy was asked for within 0.1 s of it).

Change: targets are drawn by weighted rendezvous hashing, the free room as weight, another zone at 0.3; a copy is waited for up to 4 s.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -22,6 +22,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/routes"
@@ -72,6 +74,9 @@
 	Excluded map[string]bool
 	// Instances is how many instances share the limits of cold servers.
 	Instances int
+	// Spread, if not 0, spreads requests over all servers with room, by this
+	// key, in place of choosing the freest.
+	Spread uint64
 }
 
 // Place is the load of one request on one server.
@@ -141,10 +146,7 @@
 		if load > limit(r.Service) {
 			continue
 		}
-		score := load + b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
-		if s.Zone != r.Zone {
-			score += zoneCost
-		}
+		score := b.score(now, r, s, load)
 		if score < bestScore {
 			best, bestScore = i, score
 		}
@@ -165,6 +167,45 @@
 	return Picked{Place: place, Score: bestScore}
 }
 
+func (b *Balancer) score(now time.Time, r Request, s *observed.Server, load float64) float64 {
+	if r.Spread != 0 {
+		return spread(r, s, load+b.failures(now, s.ID)*failureCost)
+	}
+	score := load + b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
+	if s.Zone != r.Zone {
+		score += zoneCost
+	}
+	return score
+}
+
+const (
+	// farRoom is what a server in another zone counts for where memory is to
+	// be copied to it: the copy takes twice as long.
+	farRoom = 0.3
+	// leastRoom lets a nearly full server be chosen when there is no other.
+	leastRoom = 0.01
+)
+
+// spread draws a server for a key, with the free room of each as its weight
+// (weighted rendezvous hashing).
+//
+// Load: all generations of a leaving engine look for room in the same moment,
+// from several instances that don't see each other's choice. Harm: all take the
+// engine that was the freest, wait for each other at its link until their own
+// engine is gone, and are together again on the next engine that leaves.
+func spread(r Request, s *observed.Server, load float64) float64 {
+	room := max(leastRoom, 1-load)
+	if s.Zone != r.Zone {
+		room *= farRoom
+	}
+	hash := xxhash.Sum64String(s.ID) ^ r.Spread
+	hash ^= hash >> 31
+	hash *= 0x9e3779b97f4a7c15
+	hash ^= hash >> 29
+	u := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / room
+}
+
 func limit(s *routes.Service) float64 {
 	if s.Engine != nil {
 		return fullMemory
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
@@ -17,9 +18,10 @@
 	// carryEvery is how often runs are looked through beside each change of
 	// the servers: for those that began in between.
 	carryEvery = 150 * time.Millisecond
-	// copyTimeout bounds one copy. A long generation takes 0.4 s between
-	// zones, and waits for some others.
-	copyTimeout = 1800 * time.Millisecond
+	// copyTimeout bounds one copy. It is longer than engines stay after their
+	// notice: a copy given up goes on there all the same, and stands in the way
+	// of the next.
+	copyTimeout = 4 * time.Second
 	// freeTimeout bounds giving back memory at another engine.
 	freeTimeout = 500 * time.Millisecond
 	// tokenTime is what one token takes on an engine at work.
@@ -133,6 +135,7 @@
 	made := int(m.one.position()) * max(1, r.service.Engine.TokensPerEvent)
 	choice := m.s.opts.Balancer.Pick(m.s.opts.Now(), balancer.Request{
 		Service: r.service, Zone: m.one.server().Zone, Tokens: r.prompt + max(r.output, made), Excluded: m.excluded, Instances: m.s.opts.Instances(),
+		Spread: xxhash.Sum64String(r.id),
 	}, m.s.opts.State.Servers(r.service.Name))
 	picked, ok := choice.(balancer.Picked)
 	m.to, m.placed = picked.Place, ok
