Ask engines themselves while the platform is silent; refuse what a leaving instance would cut

Ruled out: asking all engines (88 instances would send thousands of calls a second); only those that carry a run of this instance are asked, every 0.3 s.

Change: MarkLeaving from reports when the list is older than 1.3 s; an instance that leaves refuses, as not run, a stream whose expected time doesn't fit twice into what is left, with Retry-After 0.06 s.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -80,6 +80,9 @@
 		// Once sent it runs, whether its caller waits or not.
 		ctx = context.WithoutCancel(ctx)
 	}
+	if f := s.tooLate(s.opts.Now(), r); f != nil {
+		return f
+	}
 	t := &attempts{excluded: map[string]bool{}}
 	for {
 		now := s.opts.Now()
@@ -98,6 +101,40 @@
 	}
 }
 
+const (
+	// drainRetryAfter is said by an instance that leaves: any other one takes
+	// the request at once.
+	drainRetryAfter = 60 * time.Millisecond
+	// drainLeast is what has to be left of the grace period for a request that
+	// isn't streamed: its usual time several times over.
+	drainLeast = time.Second
+	// drainFactor is how many times the expected time of a stream has to be
+	// left: outputs are often twice as long as expected.
+	drainFactor = 2
+)
+
+// tooLate refuses what an instance that leaves could not bring to its end.
+//
+// The failure: callers that were told of this instance before come for seconds
+// after it was told to stop. A long stream that begins then is cut when the
+// process ends, and can't be had anew; refused, it begins elsewhere at once.
+func (s *Server) tooLate(now time.Time, r *request) *answer.Failure {
+	if !s.draining.Load() {
+		return nil
+	}
+	left := s.opts.Grace - now.Sub(time.Unix(0, s.drainedAt.Load()))
+	need := drainLeast
+	if r.route.Kind == routesStream {
+		need += drainFactor * time.Duration(r.output) * tokenTime
+	}
+	if need <= left {
+		return nil
+	}
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeResumeElsewhere, "this instance leaves; another one takes the request")
+	f.RetryAfter = drainRetryAfter
+	return f
+}
+
 // place chooses a backend server.
 func (s *Server) place(now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
 	choice := s.opts.Balancer.Pick(now, balancer.Request{
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -12,6 +12,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/migration"
+	"pollenspindle.example/pollenspindle/internal/observed"
 )
 
 const (
@@ -22,6 +23,13 @@
 	// notice: a copy given up goes on there all the same, and stands in the way
 	// of the next.
 	copyTimeout = 4 * time.Second
+	// platformSilent is how long the platform may say nothing before engines
+	// are asked themselves: a little more than a watch waits.
+	platformSilent = 1300 * time.Millisecond
+	// askEvery and askTimeout space and bound these calls: engines leave 1.5 s
+	// after their notice, and a copy takes half of that.
+	askEvery   = 300 * time.Millisecond
+	askTimeout = 500 * time.Millisecond
 	// freeTimeout bounds giving back memory at another engine.
 	freeTimeout = 500 * time.Millisecond
 	// tokenTime is what one token takes on an engine at work.
@@ -34,6 +42,7 @@
 func (s *Server) carry(ctx context.Context) {
 	ticker := time.NewTicker(carryEvery)
 	defer ticker.Stop()
+	asked := map[string]time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -41,6 +50,7 @@
 		case <-s.opts.State.Changed():
 		case <-ticker.C:
 		}
+		s.ask(ctx, asked)
 		for _, one := range s.runs.list() {
 			if s.leaves(one) && one.claim() {
 				noticed := s.opts.Now()
@@ -52,6 +62,45 @@
 	}
 }
 
+// ask reads the reports of the engines that carry runs of this instance while
+// the platform tells nothing.
+//
+// The failure: the platform is down while engines are reclaimed. Nobody hears
+// of it, and every generation there is cut, although the engines themselves
+// know when they leave. Only engines with runs are asked, so that the number of
+// calls follows the runs and not the size of the deployment.
+func (s *Server) ask(ctx context.Context, asked map[string]time.Time) {
+	now := s.opts.Now()
+	if s.opts.State.Age(now, observed.Servers) < platformSilent {
+		clear(asked)
+		return
+	}
+	for _, one := range s.runs.list() {
+		server := one.server()
+		if one.request.service.Engine == nil || now.Sub(asked[server.ID]) < askEvery {
+			continue
+		}
+		asked[server.ID] = now
+		_ = s.carriers.Submit(func() { s.askOne(ctx, server) })
+	}
+}
+
+func (s *Server) askOne(ctx context.Context, server observed.Server) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, body, err := s.upstream.Order(ctx, server.Address, http.MethodGet, s.opts.Dialect.Paths.Report, nil)
+	if err != nil {
+		s.log.Debug().Str("server", server.ID).Err(err).Msg("engine doesn't report")
+		return
+	}
+	report, err := s.opts.Dialect.Report(body)
+	if err != nil || !report.Leaving {
+		return
+	}
+	s.log.Info().Str("server", server.ID).Dur("leavesIn", report.LeavesIn).Msg("engine reports that it leaves")
+	s.opts.State.MarkLeaving(server.ID)
+}
+
 // leaves reports whether the engine of a run is about to leave.
 func (s *Server) leaves(one *run) bool {
 	e := one.request.service.Engine
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -197,6 +197,20 @@
 	s.publish()
 }
 
+// MarkLeaving notes that a server itself says that it leaves, where the
+// platform doesn't tell.
+func (s *State) MarkLeaving(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server, ok := s.servers[id]
+	if !ok || server.Leaving {
+		return
+	}
+	server.Leaving = true
+	s.servers[id] = server
+	s.publish()
+}
+
 func (s *State) put(now time.Time, server dialect.Server) {
 	s.servers[server.ID] = Server{Server: server, ColdUntil: now.Add(server.ColdFor)}
 }
