--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -181,7 +181,7 @@
 const (
 	// farRoom is what a server in another zone counts for where memory is to
 	// be copied to it: the copy takes twice as long.
-	farRoom = 0.3
+	farRoom = 0.1
 	// leastRoom lets a nearly full server be chosen when there is no other.
 	leastRoom = 0.01
 )
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -172,7 +172,7 @@
 	m.ConfigurationVersion, _ = g.opts.State.Version(observed.Configuration)
 	m.ServersAt, _ = g.opts.State.Version(observed.Servers)
 	m.ZonesAt, _ = g.opts.State.Version(observed.Zones)
-	m.Stale = g.opts.State.Age(now, observed.Servers) > staleAfter || g.opts.State.Age(now, observed.Zones) > staleAfter
+	m.Stale = g.opts.State.Age(now, observed.Servers) > staleAfter
 	return m
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,7 +23,7 @@
 	// denyFresh is how long ago the configuration may have been confirmed for
 	// a request to be told that its key or route doesn't exist. A key that was
 	// added since then would be refused for good; "not now" is true of both.
-	denyFresh = 1500 * time.Millisecond
+	denyFresh = 1900 * time.Millisecond
 	// denyRetryAfter is when an instance without a fresh configuration is
 	// asked again; it hears of a new one within that unless it is cut off.
 	denyRetryAfter = 700 * time.Millisecond
@@ -97,20 +98,23 @@
 }
 
 // framed refuses requests whose length can be read in two ways: what one side
-// takes for the body, another could take for a further request.
+// takes for the body, another could take for a further request. It looks at the
+// header as it came, as the codec keeps only what it goes by.
 func framed(c *app.RequestContext) error {
-	lengths, encodings := 0, 0
-	c.Request.Header.VisitAll(func(name, _ []byte) {
-		switch strings.ToLower(string(name)) {
+	lengths, encodings, folded := 0, 0, false
+	for line := range bytes.Lines(c.Request.Header.RawHeaders()) {
+		folded = folded || line[0] == ' ' || line[0] == '\t'
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		switch strings.ToLower(string(bytes.TrimSpace(name))) {
 		case "content-length":
 			lengths++
 		case "transfer-encoding":
 			encodings++
 		}
-	})
-	if lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) {
+	}
+	if folded || lengths+encodings > 1 {
 		c.SetConnectionClose()
-		return answer.Invalid("Content-Length", "the body's length is given twice")
+		return answer.Invalid("Content-Length", "the body's length can be read in two ways")
 	}
 	return nil
 }
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// watchWait is how long the platform may hold a watch back, as a watch on a
-	// connection that went silent, or one that the platform feeds nothing,
-	// hears of no change. It bounds the age of what is known well below the
-	// two seconds in which a change is to be in force.
-	watchWait = 900 * time.Millisecond
+	// The waits say how long the platform may hold a watch back. A watch on a
+	// connection that went silent hears of no change, so they bound the age of
+	// what is known: below the two seconds in which a configuration, and the
+	// five in which a zone taken out, is to be in force, and below the notice
+	// that engines give. Each call has its price.
+	configurationWait = 1700 * time.Millisecond
+	serversWait       = 900 * time.Millisecond
+	zonesWait         = 2500 * time.Millisecond
 	// callTimeout is what a call may take beyond its wait. An answer takes
 	// milliseconds, and some 300 ms on a platform that is overloaded.
 	callTimeout = 600 * time.Millisecond
@@ -61,6 +64,7 @@
 type follow struct {
 	part Part
 	kind string
+	wait time.Duration
 	// list takes over a whole list, apply one change.
 	list  func(now time.Time, version int64, objects []objectapi.Object)
 	apply func(now time.Time, e objectapi.Event)
@@ -71,9 +75,9 @@
 	var duties sync.WaitGroup
 	kinds := f.opts.Dialect.Kinds
 	for _, one := range []follow{
-		{Configuration, kinds.Configuration, f.listConfiguration, f.applyConfiguration},
-		{Servers, kinds.Servers, f.listServers, f.applyServer},
-		{Zones, kinds.DrainedZones, f.listZones, nil},
+		{Configuration, kinds.Configuration, configurationWait, f.listConfiguration, f.applyConfiguration},
+		{Servers, kinds.Servers, serversWait, f.listServers, f.applyServer},
+		{Zones, kinds.DrainedZones, zonesWait, f.listZones, nil},
 	} {
 		duties.Go(func() { f.follow(ctx, one) })
 	}
@@ -121,7 +125,7 @@
 			}
 			call = objectapi.AllowStale(call)
 		}
-		changes, err := f.opts.Objects.Watch(call, one.kind, version, watchWait)
+		changes, err := f.opts.Objects.Watch(call, one.kind, version, one.wait)
 		now := f.opts.Now()
 		if errors.Is(err, objectapi.ErrCompacted) {
 			return
