Compare few of many servers; read the platform less often in large fleets

Change: of more than 16 servers the freest of four drawn at random (three of the caller's zone) is taken; waits for the platform grow with the fleet beyond 12 instances, up to five times, as instances tell each other.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -134,6 +134,54 @@
 func (b *Balancer) Pick(now time.Time, r Request, servers []observed.Server) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	choice := b.pick(now, r, b.sample(r, servers))
+	if _, ok := choice.(Picked); !ok && len(servers) > wholeList {
+		choice = b.pick(now, r, servers)
+	}
+	if picked, ok := choice.(Picked); ok {
+		b.count(now, picked.Place)
+	}
+	return choice
+}
+
+const (
+	// wholeList is up to how many servers all are compared. sampleNear and
+	// sampleFar are how many are drawn from longer lists, in the caller's zone
+	// and elsewhere.
+	//
+	// Load: a hundred instances that know each other's loads as of a second or
+	// two ago. Harm: all choose the server that was the freest then, and its
+	// queue is what callers wait in while others stand idle. The freest of a
+	// few drawn at random is nearly as free, and another one each time.
+	wholeList  = 16
+	sampleNear = 3
+	sampleFar  = 1
+)
+
+// sample draws a few servers from a long list.
+func (b *Balancer) sample(r Request, servers []observed.Server) []observed.Server {
+	if len(servers) <= wholeList || r.Spread != 0 {
+		return servers
+	}
+	out := make([]observed.Server, 0, sampleNear+sampleFar)
+	near, far := sampleNear, sampleFar
+	for _, i := range b.rng.Perm(len(servers)) {
+		s := servers[i]
+		left := &far
+		if s.Zone == r.Zone {
+			left = &near
+		}
+		if *left == 0 || r.Excluded[s.ID] {
+			continue
+		}
+		*left--
+		out = append(out, s)
+	}
+	return out
+}
+
+// pick chooses among servers.
+func (b *Balancer) pick(now time.Time, r Request, servers []observed.Server) Choice {
 	best, bestScore := -1, math.Inf(1)
 	usable := 0
 	for i := range servers {
@@ -157,14 +205,17 @@
 	case best < 0:
 		return Full{}
 	}
-	place := Place{Server: servers[best], Tokens: r.Tokens}
-	own := b.server(now, place.Server.ID)
+	return Picked{Place: Place{Server: servers[best], Tokens: r.Tokens}, Score: bestScore}
+}
+
+// count puts the load of a request on its server.
+func (b *Balancer) count(now time.Time, p Place) {
+	own := b.server(now, p.Server.ID)
 	own.running++
-	own.tokens += place.Tokens
-	if now.Before(place.Server.ColdUntil) {
+	own.tokens += p.Tokens
+	if now.Before(p.Server.ColdUntil) {
 		b.countCold(now, own)
 	}
-	return Picked{Place: place, Score: bestScore}
 }
 
 func (b *Balancer) score(now time.Time, r Request, s *observed.Server, load float64) float64 {
@@ -309,9 +360,7 @@
 func (b *Balancer) Reserve(now time.Time, p Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own := b.server(now, p.Server.ID)
-	own.running++
-	own.tokens += p.Tokens
+	b.count(now, p)
 }
 
 // Done takes the load of a request off its server.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -339,9 +339,9 @@
 	}
 }
 
-func wantEvents(first, last int) string {
+func wantEvents(last int) string {
 	var b strings.Builder
-	for id := first; id <= last; id++ {
+	for id := 1; id <= last; id++ {
 		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", id, id)
 	}
 	return b.String()
@@ -355,7 +355,7 @@
 		f := start(t, map[string]http.Handler{"llm-1": &backend{how: events(1, 5, false)}, "llm-2": &backend{how: events(1, 5, false)}})
 		body, err := io.ReadAll(f.send("POST", "/plan/1", "{}").Body)
 		require.Error(t, err)
-		require.Equal(t, wantEvents(1, 5), string(body))
+		require.Equal(t, wantEvents(5), string(body))
 	})
 	t.Run("resumable", func(t *testing.T) {
 		how := func(w http.ResponseWriter, r *http.Request) {
@@ -368,7 +368,7 @@
 		f := start(t, map[string]http.Handler{"llm-1": &backend{how: how}, "llm-2": &backend{how: how}})
 		body, err := io.ReadAll(f.send("POST", "/check/1", "{}").Body)
 		require.NoError(t, err)
-		require.Equal(t, wantEvents(1, 9), string(body))
+		require.Equal(t, wantEvents(9), string(body))
 	})
 }
 
@@ -420,7 +420,7 @@
 			a, b := &mobile{stop: make(chan struct{})}, &mobile{stop: make(chan struct{})}
 			f := start(t, map[string]http.Handler{"llm-1": a, "llm-2": b})
 			resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
-			three := make([]byte, len(wantEvents(1, 3)))
+			three := make([]byte, len(wantEvents(3)))
 			_, err := io.ReadFull(resp.Body, three)
 			require.NoError(t, err)
 			source, target := a, b
@@ -441,7 +441,7 @@
 			}
 			rest, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
-			require.Equal(t, wantEvents(1, 7), string(three)+string(rest))
+			require.Equal(t, wantEvents(7), string(three)+string(rest))
 			server, _ := f.state.Server(at)
 			require.True(t, server.Leaving)
 			require.False(t, source.moves[0].Last)
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -129,12 +129,13 @@
 	objects := objectapi.NewClient("http://"+cfg.PlatformAddress, objectapi.Options{
 		Form: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst,
 	})
-	in.follow = observed.NewFollower(observed.Options{
-		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
-	})
 	in.table = gossip.NewTable(gossip.Record{
 		ID: cfg.Instance, Peer: cfg.PeerAddress, Caller: cfg.CallerAddress, Zone: cfg.Zone, Started: time.Now().UnixMilli(),
 	})
+	in.follow = observed.NewFollower(observed.Options{
+		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
+		Instances: in.table.Count,
+	})
 	placing := balancer.New(balancer.Bounds{ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack},
 		rand.New(rand.NewPCG(rand.Uint64(), 1)), in.table.Load)
 	key, err := peer.NewKey(cfg.PeerKey)
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -21,6 +21,9 @@
 	configurationWait = 1700 * time.Millisecond
 	serversWait       = 900 * time.Millisecond
 	zonesWait         = 2500 * time.Millisecond
+	// longestWait bounds a stretched wait: news from other instances takes two
+	// seconds among a hundred.
+	longestWait = 4 * time.Second
 	// callTimeout is what a call may take beyond its wait. An answer takes
 	// milliseconds, and some 300 ms on a platform that is overloaded.
 	callTimeout = 600 * time.Millisecond
@@ -32,6 +35,12 @@
 	// serversFresh is how old the list of servers may get by cheap watches,
 	// which can be seconds behind, before it is read in full.
 	serversFresh = 1500 * time.Millisecond
+	// readers is how many instances read the platform at these times. Where
+	// there are more, each reads less often, up to maxStretch, so that the
+	// calls grow more slowly than the fleet: what one of them reads, the others
+	// hear of from each other.
+	readers    = 12
+	maxStretch = 5.0
 	// retryLeast and retryMost space calls to a platform that fails.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
@@ -46,6 +55,8 @@
 	Dialect dialect.Dialect
 	Log     zerolog.Logger
 	Now     func() time.Time
+	// Instances returns how many instances follow the platform.
+	Instances func() int
 }
 
 // Follower keeps a [State] up to date from the platform, with one duty for
@@ -70,6 +81,12 @@
 	apply func(now time.Time, e objectapi.Event)
 }
 
+// stretched is a wait for one of many instances.
+func (f *Follower) stretched(d time.Duration) time.Duration {
+	share := float64(f.opts.Instances()) / readers
+	return time.Duration(float64(d) * min(maxStretch, max(1, share)))
+}
+
 // Run follows the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var duties sync.WaitGroup
@@ -120,12 +137,16 @@
 		start := f.opts.Now()
 		call := objectapi.WithTimeout(ctx, patience.Timeout())
 		if one.part == Servers {
-			if start.Sub(listed) > serversFresh {
+			if start.Sub(listed) > f.stretched(serversFresh) {
 				return
 			}
 			call = objectapi.AllowStale(call)
 		}
-		changes, err := f.opts.Objects.Watch(call, one.kind, version, one.wait)
+		wait := one.wait
+		if one.part != Servers {
+			wait = min(f.stretched(wait), longestWait)
+		}
+		changes, err := f.opts.Objects.Watch(call, one.kind, version, wait)
 		now := f.opts.Now()
 		if errors.Is(err, objectapi.ErrCompacted) {
 			return
@@ -138,9 +159,7 @@
 		f.regained()
 		version = max(version, changes.Version)
 		if len(changes.Events) == 0 {
-			if one.part != Servers {
-				f.opts.State.Confirm(start, one.part, version)
-			}
+			f.opts.State.Confirm(start, one.part, version)
 			continue
 		}
 		if one.apply == nil {
@@ -149,8 +168,8 @@
 		for _, e := range changes.Events {
 			one.apply(now, e)
 		}
-		if one.part == Configuration {
-			f.opts.State.Confirm(start, one.part, version)
+		f.opts.State.Confirm(start, one.part, version)
+		if one.part != Servers {
 			continue
 		}
 		if objectapi.Pause(ctx, gather) != nil {
