--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -23,6 +23,10 @@
 	// notice: a copy given up goes on there all the same, and stands in the way
 	// of the next.
 	copyTimeout = 4 * time.Second
+	// streamSilent is how long a stream may stand still. Engines make an event
+	// in some 30 ms and are back from a preemption in half a second; callers
+	// leave after some seconds.
+	streamSilent = 900 * time.Millisecond
 	// platformSilent is how long the platform may say nothing before engines
 	// are asked themselves: a little more than a watch waits.
 	platformSilent = 1300 * time.Millisecond
@@ -52,16 +56,62 @@
 		}
 		s.ask(ctx, asked)
 		for _, one := range s.runs.list() {
-			if s.leaves(one) && one.claim() {
-				noticed := s.opts.Now()
-				if s.carriers.Submit(func() { defer one.release(); s.move(ctx, one, noticed) }) != nil {
-					one.release()
-				}
+			switch {
+			case s.leaves(one):
+				s.start(one, func(now time.Time) { s.move(ctx, one, now) })
+			case s.silent(one):
+				s.start(one, func(time.Time) { s.rescue(ctx, one) })
 			}
 		}
 	}
 }
 
+// start has a run carried, unless it is already. With all carriers at work it
+// is tried again at the next look.
+func (s *Server) start(one *run, carry func(now time.Time)) {
+	if !one.claim() {
+		return
+	}
+	now := s.opts.Now()
+	if s.carriers.Submit(func() { defer one.release(); carry(now) }) != nil {
+		one.release()
+	}
+}
+
+// silent reports whether the stream of a run has stood still for too long.
+func (s *Server) silent(one *run) bool {
+	e := one.request.service.Engine
+	return e != nil && e.Moves && one.silentFor(s.opts.Now()) > streamSilent
+}
+
+// rescue has a run whose stream stands still go on at another engine.
+//
+// The failure: something between this instance and the engine has lost track of
+// the connection. The engine goes on, new connections to it work, and the
+// caller waits for an event that never comes. The engine stops the run when it
+// is asked to move it, so that it can't go on twice; one that doesn't know the
+// run, or can't be reached, leaves everything as it is.
+func (s *Server) rescue(ctx context.Context, one *run) {
+	source := one.server()
+	m := &mover{s: s, one: one, source: source.Address, excluded: map[string]bool{source.ID: true}}
+	if !m.choose() || !one.stop() {
+		m.unplace()
+		return
+	}
+	status, moved, err := m.order(ctx, true)
+	s.log.Warn().Str("request", one.request.id).Str("server", source.ID).Int("status", status).Err(err).Msg("stream stands still, generation moved")
+	if err != nil {
+		m.unplace()
+		one.goOn()
+		return
+	}
+	one.handed <- handover{to: m.to, source: m.source, handle: moved.Handle}
+	one.leaveStream()
+	if one.finished() {
+		one.unclaimed(s.opts.Balancer.Done)
+	}
+}
+
 // ask reads the reports of the engines that carry runs of this instance while
 // the platform tells nothing.
 //
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -419,6 +419,9 @@
 		t.Run(fmt.Sprintf("platform silent: %v", silent), func(t *testing.T) {
 			a, b := &mobile{stop: make(chan struct{})}, &mobile{stop: make(chan struct{})}
 			f := start(t, map[string]http.Handler{"llm-1": a, "llm-2": b})
+			if silent {
+				f.clock.forward(platformSilent + time.Second)
+			}
 			resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
 			three := make([]byte, len(wantEvents(3)))
 			_, err := io.ReadFull(resp.Body, three)
@@ -431,9 +434,7 @@
 			if source == b {
 				at = "llm-2"
 			}
-			if silent {
-				f.clock.forward(platformSilent + time.Second)
-			} else {
+			if !silent {
 				for i := range f.list {
 					f.list[i].Leaving = f.list[i].ID == at
 				}
@@ -451,6 +452,23 @@
 	}
 }
 
+// Something between the instance and an engine has lost track of a stream's
+// connection: the engine goes on, new connections to it work, and no event
+// comes. The stream goes on from its memory elsewhere, each event once.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	a, b := &mobile{stop: make(chan struct{})}, &mobile{stop: make(chan struct{})}
+	f := start(t, map[string]http.Handler{"llm-1": a, "llm-2": b})
+	resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+	three := make([]byte, len(wantEvents(3)))
+	_, err := io.ReadFull(resp.Body, three)
+	require.NoError(t, err)
+	f.state.ReplaceServers(f.clock.now().Add(time.Hour), 2, f.list)
+	f.clock.forward(streamSilent)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, wantEvents(7), string(three)+string(rest))
+}
+
 // Two lengths of one body, or a second request within it, are refused, and the
 // connection ends: what one side takes for a body, another could run.
 func TestSmuggledRequests(t *testing.T) {
--- a/internal/ingress/runs.go
+++ b/internal/ingress/runs.go
@@ -56,24 +56,62 @@
 	request *request
 	handed  chan handover
 
-	mu       sync.Mutex
-	place    balancer.Place
-	lastID   int64
+	mu     sync.Mutex
+	place  balancer.Place
+	lastID int64
+	// lastAt is when the last event came, abort ends the read for the next.
+	lastAt   time.Time
+	abort    func()
 	events   int64
 	carrying bool
 	stopping bool
 	done     bool
 }
 
-func (r *run) advance(id int64) {
+func (r *run) advance(now time.Time, id int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events++
+	r.lastAt = now
 	if id > 0 {
 		r.lastID = id
 	}
 }
 
+// reads notes how the read of the present stream is ended, and that it has
+// just begun.
+func (r *run) reads(now time.Time, abort func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastAt, r.abort = now, abort
+}
+
+// silentFor returns for how long a stream that has begun gave no event.
+func (r *run) silentFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.events == 0 || r.stopping || r.done {
+		return 0
+	}
+	return now.Sub(r.lastAt)
+}
+
+// goOn takes back a stop that the server didn't carry out; leaveStream ends
+// the read of a stream that goes on elsewhere.
+func (r *run) goOn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = false
+}
+
+func (r *run) leaveStream() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.abort != nil {
+		r.abort()
+	}
+}
+
 func (r *run) last() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -122,6 +122,7 @@
 
 // relay passes events on until the stream ends. Nil means that it is whole.
 func (f *flow) relay(a *upstream.Answer, timer *time.Timer) error {
+	f.run.reads(f.s.opts.Now(), a.Abort)
 	events := eventstream.NewSplitter(a.Stream())
 	for {
 		ev, err := events.Next()
@@ -150,7 +151,7 @@
 		if err := f.writer.Flush(); err != nil {
 			return errCallerGone
 		}
-		f.run.advance(ev.ID)
+		f.run.advance(f.s.opts.Now(), ev.ID)
 	}
 }
 
