Count what others have just confirmed; answer 504 at the time limit

(2) An attempt that our own time limit ended was told as lost (502) and not as late (504).

Change: an empty watch counts as of its answer; instances tell each other when they last confirmed the version in force.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -43,8 +43,11 @@
 	Records []Record `json:"records"`
 	// ConfigurationVersion, ServersAt and ZonesAt are what the sender has.
 	ConfigurationVersion int64 `json:"configurationVersion"`
-	ServersAt            int64 `json:"serversAt"`
-	ZonesAt              int64 `json:"zonesAt"`
+	// ConfigurationAge is for how many milliseconds it wasn't confirmed by the
+	// platform. Of many instances that read seldom one has always read lately.
+	ConfigurationAge int64 `json:"configurationAge"`
+	ServersAt        int64 `json:"serversAt"`
+	ZonesAt          int64 `json:"zonesAt"`
 	// Stale asks for servers and zones: the platform doesn't tell the sender.
 	Stale bool `json:"stale,omitempty"`
 	// Configuration is set in an answer to a sender with an older one.
@@ -169,7 +172,8 @@
 
 func (g *Gossip) own(now time.Time) *Message {
 	m := &Message{Records: g.opts.Table.Records(now)}
-	m.ConfigurationVersion, _ = g.opts.State.Version(observed.Configuration)
+	version, confirmed := g.opts.State.Version(observed.Configuration)
+	m.ConfigurationVersion, m.ConfigurationAge = version, now.Sub(confirmed).Milliseconds()
 	m.ServersAt, _ = g.opts.State.Version(observed.Servers)
 	m.ZonesAt, _ = g.opts.State.Version(observed.Zones)
 	m.Stale = g.opts.State.Age(now, observed.Servers) > staleAfter
@@ -178,6 +182,7 @@
 
 func (g *Gossip) take(now time.Time, m *Message, source string) {
 	g.opts.Table.Merge(now, m.Records)
+	g.told(now, m)
 	if len(m.Configuration) > 0 {
 		g.opts.TakeRaw(now, m.Configuration, source)
 	}
@@ -194,6 +199,12 @@
 	}
 }
 
+func (g *Gossip) told(now time.Time, m *Message) {
+	if m.ConfigurationAge >= 0 {
+		g.opts.State.Told(now.Add(-time.Duration(m.ConfigurationAge)*time.Millisecond), m.ConfigurationVersion)
+	}
+}
+
 // answer is the other side of an exchange.
 func (g *Gossip) answer(_ context.Context, req *connect.Request[Message]) (*connect.Response[Message], error) {
 	now := g.opts.Now()
@@ -201,6 +212,7 @@
 		return nil, connect.NewError(connect.CodeUnauthenticated, peer.ErrUnauthenticated)
 	}
 	g.opts.Table.Merge(now, req.Msg.Records)
+	g.told(now, req.Msg)
 	m := g.own(now)
 	if req.Msg.ConfigurationVersion < m.ConfigurationVersion {
 		m.Configuration = g.opts.State.RawConfiguration()
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -289,13 +289,15 @@
 // again decides whether a request is sent once more.
 func (s *Server) again(ctx context.Context, c *app.RequestContext, r *request, t *attempts, id string, f failed) (bool, error) {
 	t.excluded[id] = true
+	now := s.opts.Now()
 	switch {
+	case !now.Before(r.limit):
+		return false, s.giveUp(c, r, t, lateFailure(t))
 	case f.cause == retry.CauseNotSent && t.dials < maxDials:
 		return true, nil
 	case f.ran && (!r.route.Repeatable() || t.runs >= r.route.MaxAttempts):
 		return false, s.giveUp(c, r, t, lostFailure())
 	}
-	now := s.opts.Now()
 	decision, ok := s.opts.Retries.Decide(now, r.service.Name, retry.Attempt{Number: max(1, t.number), Cause: f.cause}).(retry.Again)
 	if !ok || now.Add(decision.After).After(r.limit) {
 		return false, s.giveUp(c, r, t, refusedFailure(s.rng().Int64N(int64(fullSpread))))
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -159,7 +159,7 @@
 		f.regained()
 		version = max(version, changes.Version)
 		if len(changes.Events) == 0 {
-			f.opts.State.Confirm(start, one.part, version)
+			f.opts.State.Confirm(now, one.part, version)
 			continue
 		}
 		if one.apply == nil {
@@ -168,7 +168,7 @@
 		for _, e := range changes.Events {
 			one.apply(now, e)
 		}
-		f.opts.State.Confirm(start, one.part, version)
+		f.opts.State.Confirm(now, one.part, version)
 		if one.part != Servers {
 			continue
 		}
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -145,6 +145,16 @@
 	}
 }
 
+// Told notes that another instance had a configuration confirmed at a time. It
+// counts only when it is the one in force here.
+func (s *State) Told(at time.Time, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version == s.versions[Configuration] {
+		s.confirm(at, Configuration)
+	}
+}
+
 func (s *State) confirm(now time.Time, p Part) {
 	if now.After(s.confirmed[p]) {
 		s.confirmed[p] = now
--- a/internal/observed/state_test.go
+++ b/internal/observed/state_test.go
@@ -34,6 +34,10 @@
 	require.EqualValues(t, 7, s.Table().Version)
 	require.Equal(t, "7", string(s.RawConfiguration()))
 	require.Zero(t, s.Age(start.Add(time.Second), Configuration))
+	s.Told(start.Add(3*time.Second), 5)
+	require.Equal(t, 2*time.Second, s.Age(start.Add(3*time.Second), Configuration))
+	s.Told(start.Add(3*time.Second), 7)
+	require.Zero(t, s.Age(start.Add(3*time.Second), Configuration))
 }
 
 func TestServersThatTakeRequests(t *testing.T) {
