While leaving, let the caller's bound decide what still begins

A briefing sent 3.5 s after SIGTERM was taken since its expected length fit into what was left; it was four times as long and was cut when the process ended.

Ruled out: a larger factor on the expectation (the hint is often far off).

Change: a stream begins on a leaving instance only if the most that its caller allows fits, with 2.5 s for its beginning. The test's new case failed before.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -108,16 +108,17 @@
 	// drainLeast is what has to be left of the grace period for a request that
 	// isn't streamed: its usual time several times over.
 	drainLeast = time.Second
-	// drainFactor is how many times the expected time of a stream has to be
-	// left: outputs are often twice as long as expected.
-	drainFactor = 2
+	// drainBegin is what has to be left for a stream to begin: its prompt may
+	// wait for others'.
+	drainBegin = 2500 * time.Millisecond
 )
 
 // tooLate refuses what an instance that leaves could not bring to its end.
 //
 // The failure: callers that were told of this instance before come for seconds
 // after it was told to stop. A long stream that begins then is cut when the
-// process ends, and can't be had anew; refused, it begins elsewhere at once.
+// process ends, and can't be had anew; refused, it begins elsewhere at once. The
+// caller's own bound on the output decides, as an expectation is often far off.
 func (s *Server) tooLate(now time.Time, r *request) *answer.Failure {
 	if !s.draining.Load() {
 		return nil
@@ -125,7 +126,7 @@
 	left := s.opts.Grace - now.Sub(time.Unix(0, s.drainedAt.Load()))
 	need := drainLeast
 	if r.route.Kind == routesStream {
-		need += drainFactor * time.Duration(r.output) * tokenTime
+		need = drainBegin + time.Duration(r.most)*tokenTime
 	}
 	if need <= left {
 		return nil
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -316,6 +316,8 @@
 	long := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
 	require.Equal(t, http.StatusServiceUnavailable, long.StatusCode)
 	require.Equal(t, "0.060", long.Header.Get("Retry-After"))
+	short := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "12")
+	require.Equal(t, http.StatusServiceUnavailable, short.StatusCode, "an expectation isn't a bound")
 	require.Zero(t, engine.ran())
 	require.Equal(t, http.StatusOK, f.send("POST", "/check/1", "{}", "T-Tokens", "200,12").StatusCode)
 	require.Equal(t, http.StatusOK, f.send("GET", "/read/1", "").StatusCode)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -30,6 +30,8 @@
 	// defaultOutput is the number of tokens expected of a generation that says
 	// nothing of itself.
 	defaultOutput = 256
+	// defaultMost is what such a one may come to.
+	defaultMost = 4096
 )
 
 // request is one request of a caller, with what it was matched to.
@@ -48,10 +50,10 @@
 	// deadline is when the caller leaves, limit when an answer has to begin.
 	deadline time.Time
 	limit    time.Time
-	// prompt and output are tokens, output as expected.
-	prompt, output int
-	lastEvent      int64
-	fingerprint    uint64
+	// prompt, output and most are tokens, output as expected and most at most.
+	prompt, output, most int
+	lastEvent            int64
+	fingerprint          uint64
 }
 
 // generation reports whether the request is one for model engines.
@@ -168,8 +170,9 @@
 	if hint, herr := strconv.ParseFloat(string(c.GetHeader(s.fields.LengthHint)), 64); herr == nil && hint > 0 {
 		r.output = int(hint)
 	}
+	r.most = max(r.output, defaultMost)
 	if err == nil && limit > 0 {
-		r.output = min(r.output, limit)
+		r.output, r.most = min(r.output, limit), limit
 	}
 }
 
