Test that changes are heard through deaf, dropped and absent watches

Cause: the duties that follow the platform had no test of their own. Played against the product's stand-in of the platform behind a handler with faults.

--- /dev/null
+++ b/internal/observed/follow_test.go
@@ -0,0 +1,135 @@
+package observed
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/objectapi"
+	"pollenspindle.example/pollenspindle/internal/routes"
+	"pollenspindle.example/pollenspindle/internal/standin/platform"
+)
+
+const testTimeout = 20 * time.Second
+
+// faulty is a platform whose watches can go deaf, lose their history or be cut.
+type faulty struct {
+	next http.Handler
+	deaf atomic.Bool
+	gone atomic.Bool
+	down atomic.Bool
+}
+
+func (f *faulty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	watch := strings.HasPrefix(r.URL.Path, "/watch/")
+	switch {
+	case f.down.Load():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case watch && f.deaf.Load():
+		<-r.Context().Done()
+	case watch && f.gone.CompareAndSwap(true, false):
+		w.WriteHeader(http.StatusGone)
+	default:
+		f.next.ServeHTTP(w, r)
+	}
+}
+
+type followed struct {
+	*faulty
+	t       *testing.T
+	state   *State
+	objects *objectapi.Client
+}
+
+func follows(t *testing.T) *followed {
+	t.Helper()
+	f := &followed{faulty: &faulty{next: platform.NewHandler(platform.Options{})}, t: t, state: NewState()}
+	server := httptest.NewServer(f.faulty)
+	f.objects = objectapi.NewClient(server.URL, objectapi.Options{ReadsPerSecond: 1e6, ReadBurst: 1e6})
+	d := dialect.Dialect{
+		Kinds: dialect.Kinds{Configuration: "config", ConfigurationName: "main", Servers: "servers", DrainedZones: "zones"},
+		Configuration: func(value []byte) (cfg routes.Configuration, err error) {
+			return cfg, json.Unmarshal(value, &cfg)
+		},
+		Server: func(id string, value []byte) (s dialect.Server, err error) {
+			err = json.Unmarshal(value, &s)
+			s.ID = id
+			return s, err
+		},
+	}
+	follower := NewFollower(Options{
+		State: f.state, Objects: f.objects, Dialect: d, Log: zerolog.Nop(), Now: time.Now, Instances: func() int { return 1 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); follower.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; f.objects.Close(); server.Close() })
+	return f
+}
+
+// put writes an object past the faults.
+func (f *followed) put(kind, name, value string) {
+	f.t.Helper()
+	direct := httptest.NewServer(f.next)
+	defer direct.Close()
+	c := objectapi.NewClient(direct.URL, objectapi.Options{ReadsPerSecond: 1e6, ReadBurst: 1e6})
+	defer c.Close()
+	o, err := c.Get(context.Background(), kind, name)
+	if err != nil {
+		_, err = c.Create(context.Background(), kind, name, []byte(value))
+	} else {
+		_, err = c.Update(context.Background(), kind, name, o.Version, []byte(value))
+	}
+	require.NoError(f.t, err)
+}
+
+func (f *followed) eventually(what func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, what, testTimeout, 5*time.Millisecond)
+}
+
+func (f *followed) inForce(version int64) func() bool {
+	return func() bool { table := f.state.Table(); return table != nil && table.Version == version }
+}
+
+// What operators and servers write comes to be known, whatever happens to the
+// watches meanwhile: they go deaf (nothing is heard on a connection that stays
+// open), their history is dropped, the platform is down.
+func TestChangesAreHeardThroughFaults(t *testing.T) {
+	tests := map[string]struct{ begin, end func(f *faulty) }{
+		"none":            {func(*faulty) {}, func(*faulty) {}},
+		"deaf watches":    {func(f *faulty) { f.deaf.Store(true) }, func(*faulty) {}},
+		"history dropped": {func(f *faulty) { f.gone.Store(true) }, func(*faulty) {}},
+		"platform down":   {func(f *faulty) { f.down.Store(true) }, func(f *faulty) { f.down.Store(false) }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := follows(t)
+			f.put("config", "main", `{"Version":1}`)
+			f.put("servers", "s1", `{"Service":"llm","Zone":"z1"}`)
+			f.put("servers", "s2", `{"Service":"llm","Zone":"z2"}`)
+			f.eventually(f.inForce(1))
+			f.eventually(func() bool { return len(f.state.Servers("llm")) == 2 })
+			tt.begin(f.faulty)
+			f.put("config", "main", `{"Version":2}`)
+			f.put("servers", "s1", `{"Service":"llm","Zone":"z1","Leaving":true}`)
+			f.put("servers", "s3", `"no server"`)
+			f.put("zones", "z2", `{}`)
+			tt.end(f.faulty)
+			f.eventually(f.inForce(2))
+			f.eventually(func() bool { return len(f.state.Servers("llm")) == 0 })
+			_, listed := f.state.Server("s3")
+			require.False(t, listed)
+		})
+	}
+}
