Wait for no body where an answer has none; let the first event or its time limit win

Causes: (1) the change that takes the reset of an unframed body for a loss read the body of 204 and 304 answers, which have neither body nor length, until the connection ended. The time for the first event ended in the moment in which it was passed on.

Change: bodiless statuses are whole at once; the first event and the end of its time exclude each other. Tests: TestAnswerWithoutContentIsWhole waited for ever before, TestFirstEventOrItsTimeLimit.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -167,7 +167,7 @@
 	if !r.SkipBody && r.Header.ContentLength() > c.opts.MaxResponseBytes {
 		return merry.Wrap(ErrTooLarge)
 	}
-	if r.unframed() && !r.SkipBody {
+	if r.unframed() {
 		err := r.readUnframed(c.opts.MaxResponseBytes)
 		r.finish(true)
 		return err
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,8 +44,17 @@
 // codecIdentity is how the codec tells a body that ends with its connection.
 const codecIdentity = -2
 
-// unframed reports whether the body ends with its connection.
-func (r *Response) unframed() bool { return r.Header.ContentLength() == codecIdentity }
+// unframed reports whether the body ends with its connection. Some answers have
+// no body and need no length; there is nothing to wait for then.
+func (r *Response) unframed() bool {
+	return r.Header.ContentLength() == codecIdentity && !r.SkipBody && !bodiless(r.StatusCode())
+}
+
+// bodiless reports whether answers with a status never have a body (RFC 9110,
+// 6.4.1).
+func bodiless(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
+}
 
 // unframedBody is a body that ends with its connection. The codec takes any end
 // for the end of such a body, also a reset: an answer that was broken off would
--- a/internal/httpclient/unframed_test.go
+++ b/internal/httpclient/unframed_test.go
@@ -71,3 +71,23 @@
 		})
 	}
 }
+
+// An order is answered with "no content", which has neither a body nor a
+// length, on a connection that stays open. Whoever waited for its end would
+// wait until the server gives the connection up.
+func TestAnswerWithoutContentIsWhole(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusNotModified} {
+		s := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		c := New(Options{})
+		defer c.Close()
+		for _, stream := range []bool{false, true} {
+			resp, err := get(t.Context(), c, s.address(), Call{Stream: stream})
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode())
+			body, err := resp.ReadAll()
+			require.NoError(t, err)
+			require.Empty(t, body)
+			resp.Close()
+		}
+	}
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -164,13 +164,11 @@
 	if r.route.Repeatable() && t.runs+1 < r.route.MaxAttempts {
 		limit = now.Add(time.Duration(float64(r.limit.Sub(now)) * firstShare))
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := time.AfterFunc(limit.Sub(now), cancel)
-	defer timer.Stop()
 	if r.route.Kind == routes.Stream {
-		return s.stream(ctx, c, r, place, timer)
+		return s.stream(ctx, c, r, place, limit.Sub(now))
 	}
+	ctx, cancel := context.WithTimeout(ctx, limit.Sub(now))
+	defer cancel()
 	defer s.opts.Balancer.Done(place)
 	a, err := s.upstream.Do(ctx, place.Server.Address, s.outgoing(now, r, place, nil), false)
 	if err != nil {
--- a/internal/ingress/runs.go
+++ b/internal/ingress/runs.go
@@ -66,6 +66,26 @@
 	carrying bool
 	stopping bool
 	done     bool
+	// begun is set by the first event, expired by the end of the time for it:
+	// whichever comes first.
+	begun   bool
+	expired bool
+}
+
+// expire ends the wait for the first event; false means that it has come.
+func (r *run) expire() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expired = !r.begun
+	return r.expired
+}
+
+// begins notes that an event has come; false means that it came too late.
+func (r *run) begins() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun = r.begun || !r.expired
+	return r.begun
 }
 
 func (r *run) advance(now time.Time, id int64) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -53,10 +53,21 @@
 	writer *breakable
 }
 
-// stream sends a request for a stream to one server and relays what comes.
-func (s *Server) stream(ctx context.Context, c *app.RequestContext, r *request, place balancer.Place, timer *time.Timer) result {
+// stream sends a request for a stream to one server and relays what comes. The
+// first event may take limit.
+func (s *Server) stream(ctx context.Context, c *app.RequestContext, r *request, place balancer.Place, limit time.Duration) result {
 	f := &flow{s: s, c: c, r: r, run: s.runs.begin(r, place)}
 	defer f.end()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The failure: the time ends in the moment in which the first event is
+	// passed on. The stream, which the caller has begun to get, would be cut.
+	timer := time.AfterFunc(limit, func() {
+		if f.run.expire() {
+			cancel()
+		}
+	})
+	defer timer.Stop()
 	a, err := s.upstream.Do(ctx, place.Server.Address, s.outgoing(s.opts.Now(), r, place, nil), true)
 	if err != nil {
 		return lostOf(err)
@@ -67,7 +78,7 @@
 		} else if lost, ok := res.(failed); ok {
 			return f.cut(lost)
 		}
-		err = f.relay(a, timer)
+		err = f.relay(a)
 		a.Close()
 		switch {
 		case err == nil:
@@ -118,12 +129,13 @@
 
 // Why a stream doesn't go on.
 var (
+	errTooLate      = merry.Sentinel("the first event came too late")
 	errCallerGone   = merry.Sentinel("the caller has left")
 	errNotResumable = merry.Sentinel("the route doesn't allow it to go on elsewhere, or the retry budget is spent")
 )
 
 // relay passes events on until the stream ends. Nil means that it is whole.
-func (f *flow) relay(a *upstream.Answer, timer *time.Timer) error {
+func (f *flow) relay(a *upstream.Answer) error {
 	f.run.reads(f.s.opts.Now(), a.Abort)
 	events := eventstream.NewSplitter(a.Stream())
 	for {
@@ -132,6 +144,9 @@
 			if f.run.stopped() {
 				return eventstream.ErrCut
 			}
+			if !f.run.begins() {
+				return errTooLate
+			}
 			if f.writer == nil {
 				f.begin(a)
 			}
@@ -140,7 +155,9 @@
 		if err != nil {
 			return err
 		}
-		timer.Stop()
+		if !f.run.begins() {
+			return errTooLate
+		}
 		if ev.ID > 0 && ev.ID <= f.run.last() {
 			continue
 		}
