--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -471,6 +471,32 @@
 	require.Equal(t, wantEvents(7), string(three)+string(rest))
 }
 
+// An instance is closed before it has begun to serve. It must end all the same.
+func TestCloseBeforeRun(t *testing.T) {
+	f := start(t, nil)
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return l
+	}
+	opts := f.opts
+	opts.Callers, opts.Ready, opts.Directory = listen(), listen(), listen()
+	s, err := NewServer(opts)
+	require.NoError(t, err)
+	s.Drain(f.clock.now())
+	s.Close()
+	done := make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	go func() { done <- s.Run(ctx) }()
+	select {
+	case err := <-done:
+		require.NoError(t, err)
+	case <-time.After(testTimeout):
+		t.Fatal("it serves for ever")
+	}
+}
+
 // Two lengths of one body, or a second request within it, are refused, and the
 // connection ends: what one side takes for a body, another could run.
 func TestSmuggledRequests(t *testing.T) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -149,7 +149,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	failed := make(chan error, len(s.hertz))
 	for _, h := range s.hertz {
-		go func() { failed <- h.Run() }()
+		go func() { failed <- serveOn(h) }()
 	}
 	go s.carry(ctx)
 	for range s.hertz {
@@ -160,6 +160,20 @@
 	return nil
 }
 
+// ErrListener means that a listener failed.
+var ErrListener = merry.Sentinel("listener failed")
+
+// serveOn serves on one listener. The library panics when it can't be served, which
+// would end the process in the middle of others' requests.
+func serveOn(h *server.Hertz) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = merry.Wrap(ErrListener, merry.AppendMessagef("%v", r))
+		}
+	}()
+	return h.Run()
+}
+
 // Ready reports whether callers may be sent here.
 func (s *Server) Ready() bool { return s.opts.State.Table() != nil && !s.draining.Load() }
 
@@ -177,6 +191,10 @@
 	for _, h := range s.hertz {
 		_ = h.Close()
 	}
+	// A server that hadn't begun to serve would do so now, and for ever.
+	for _, l := range []net.Listener{s.opts.Callers, s.opts.Ready, s.opts.Directory} {
+		_ = l.Close()
+	}
 	s.carriers.Release()
 	s.upstream.Close()
 }
