--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,297 @@
+// Package balancer chooses the backend server for a request. It holds no
+// sockets and starts no goroutines; the present time is an argument.
+//
+// It is for instances that each see their own requests at once and those of the
+// others some hundred milliseconds late. The harms it prevents: an engine whose
+// memory fills while others stand free, a cold server that gets more than it
+// bears, requests that go on to a server that fails them, and a herd of
+// instances on the server that looked best in the same report.
+//
+// # Usage
+//
+//	b := balancer.New(balancer.Bounds{ColdOverage: 1.5, ColdSlack: 5}, rng)
+//	choice := b.Pick(now, balancer.Request{...}, candidates)
+//	if picked, ok := choice.(balancer.Picked); ok {
+//		defer b.Done(picked.Place)
+//	}
+package balancer
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/routes"
+)
+
+const (
+	// zoneCost is what another availability zone weighs, as a share of a
+	// server. It keeps bytes in a zone while its servers are about as free as
+	// others, and gives way before a caller would wait.
+	zoneCost = 0.12
+	// noise spreads instances that see the same loads: about one request of a
+	// dozen on a server.
+	noise = 0.04
+	// slotWeight is what a full batch weighs beside full memory: it makes
+	// tokens slower, while full memory preempts.
+	slotWeight = 0.5
+	// failureCost is what a recent failure weighs, and failureHalf the time in
+	// which it counts half. A server that fails twice in a second gets
+	// requests only when all others are full; after some seconds it is tried.
+	failureCost = 0.8
+	failureHalf = 1500 * time.Millisecond
+	maxFailures = 4.0
+	// fullMemory is up to what share of its memory an engine takes requests,
+	// by what they are expected to need. Outputs end early about as often as
+	// late, so that a little more than all of it seldom preempts.
+	fullMemory = 1.1
+	// fullQueue is how many times its slots a plain server takes: beyond, what
+	// waits there would be late at its usual service time.
+	fullQueue = 3.0
+)
+
+// Bounds are the deployment's limits on cold servers.
+type Bounds struct {
+	// ColdOverage multiplies what a cold server declares to bear, ColdSlack is
+	// added, in requests a second.
+	ColdOverage float64
+	ColdSlack   float64
+}
+
+// Request is what is to be placed.
+type Request struct {
+	Service *routes.Service
+	// Zone is where the bytes come from.
+	Zone string
+	// Tokens is the memory that the request is expected to need.
+	Tokens int
+	// Excluded are servers by id that aren't to be chosen.
+	Excluded map[string]bool
+	// Instances is how many instances share the limits of cold servers.
+	Instances int
+}
+
+// Place is the load of one request on one server.
+type Place struct {
+	Server observed.Server
+	Tokens int
+}
+
+// Choice is [Picked], [Full] or [None].
+type Choice interface{ choice() }
+
+// Picked is the chosen server; its load is counted until [Balancer.Done].
+type Picked struct {
+	Place Place
+	// Score is what the choice came to, for logs: 0 is free, 1 full.
+	Score float64
+}
+
+// Full means that servers are there, and all have as much as they bear.
+type Full struct{}
+
+// None means that no server is there to be used.
+type None struct{}
+
+func (Picked) choice() {}
+func (Full) choice()   {}
+func (None) choice()   {}
+
+type server struct {
+	running, tokens int
+	failures        float64
+	failedAt        time.Time
+	// coldSince and coldSent count what was sent in the present second.
+	coldSince time.Time
+	coldSent  int
+	used      time.Time
+}
+
+// Balancer places the requests of one instance. It is safe for concurrent use.
+type Balancer struct {
+	bounds Bounds
+	mu     sync.Mutex
+	rng    *rand.Rand
+	own    map[string]*server
+	// Others returns what other instances have put on a server.
+	others func(now time.Time, id string) gossip.Load
+}
+
+// New returns a balancer.
+func New(bounds Bounds, rng *rand.Rand, others func(now time.Time, id string) gossip.Load) *Balancer {
+	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others}
+}
+
+// Pick chooses among servers and counts the load on the one chosen.
+func (b *Balancer) Pick(now time.Time, r Request, servers []observed.Server) Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, bestScore := -1, math.Inf(1)
+	usable := 0
+	for i := range servers {
+		s := &servers[i]
+		if r.Excluded[s.ID] || !b.bearsCold(now, r, s) {
+			continue
+		}
+		usable++
+		load := b.load(now, r, s)
+		if load > limit(r.Service) {
+			continue
+		}
+		score := load + b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
+		if s.Zone != r.Zone {
+			score += zoneCost
+		}
+		if score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	switch {
+	case usable == 0:
+		return None{}
+	case best < 0:
+		return Full{}
+	}
+	place := Place{Server: servers[best], Tokens: r.Tokens}
+	own := b.server(now, place.Server.ID)
+	own.running++
+	own.tokens += place.Tokens
+	if now.Before(place.Server.ColdUntil) {
+		b.countCold(now, own)
+	}
+	return Picked{Place: place, Score: bestScore}
+}
+
+func limit(s *routes.Service) float64 {
+	if s.Engine != nil {
+		return fullMemory
+	}
+	return fullQueue
+}
+
+// load returns how full a server would be with the request, 1 for full.
+func (b *Balancer) load(now time.Time, r Request, s *observed.Server) float64 {
+	var running, tokens int
+	if own, ok := b.own[s.ID]; ok {
+		running, tokens = own.running, own.tokens
+	}
+	others := b.others(now, s.ID)
+	running += others.Running + 1
+	tokens += others.Tokens + r.Tokens
+	slots := float64(max(1, s.Slots))
+	e := r.Service.Engine
+	if e == nil {
+		return float64(running) / slots
+	}
+	memory := float64(tokens) / float64(max(1, e.MemoryTokens))
+	batch := float64(running) / slots
+	if batch > 1 {
+		return max(memory, batch)
+	}
+	return max(memory, batch*slotWeight)
+}
+
+// bearsCold reports whether a server that is cold may get one more request.
+//
+// Load: a zone's servers come back cold together while all instances have
+// requests waiting. Harm: a cold server crashes at a rate well above what it
+// declares, and is cold again. The declared rate holds for all instances
+// together, also those that can't see each other, so each keeps to its share
+// by the number of instances that were ever heard of lately.
+func (b *Balancer) bearsCold(now time.Time, r Request, s *observed.Server) bool {
+	if !now.Before(s.ColdUntil) || r.Service.ColdPerSecond <= 0 {
+		return true
+	}
+	share := (r.Service.ColdPerSecond*b.bounds.ColdOverage + b.bounds.ColdSlack) / float64(max(1, r.Instances))
+	window := time.Second
+	if share < 1 {
+		window = time.Duration(float64(time.Second) / share)
+	}
+	own, ok := b.own[s.ID]
+	if !ok || now.Sub(own.coldSince) >= window {
+		return true
+	}
+	// A window that slides over two counted ones holds at most twice a half.
+	return own.coldSent < max(1, int(share/2))
+}
+
+func (b *Balancer) countCold(now time.Time, own *server) {
+	if now.Sub(own.coldSince) >= time.Second {
+		own.coldSince, own.coldSent = now, 0
+	}
+	own.coldSent++
+}
+
+func (b *Balancer) server(now time.Time, id string) *server {
+	own, ok := b.own[id]
+	if !ok {
+		own = &server{}
+		b.own[id] = own
+		b.forget(now)
+	}
+	own.used = now
+	return own
+}
+
+// keepUnused is for how long a server that got nothing is remembered.
+const keepUnused = time.Minute
+
+func (b *Balancer) forget(now time.Time) {
+	for id, s := range b.own {
+		if s.running == 0 && !s.used.IsZero() && now.Sub(s.used) > keepUnused {
+			delete(b.own, id)
+		}
+	}
+}
+
+func (b *Balancer) failures(now time.Time, id string) float64 {
+	own, ok := b.own[id]
+	if !ok || own.failures == 0 {
+		return 0
+	}
+	return own.failures * math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
+}
+
+// Failed notes that a server failed a request that it should have answered.
+func (b *Balancer) Failed(now time.Time, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.failures(now, id)
+	own := b.server(now, id)
+	own.failures, own.failedAt = min(maxFailures, n+1), now
+}
+
+// Reserve counts load on a server that was chosen elsewhere.
+func (b *Balancer) Reserve(now time.Time, p Place) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.server(now, p.Server.ID)
+	own.running++
+	own.tokens += p.Tokens
+}
+
+// Done takes the load of a request off its server.
+func (b *Balancer) Done(p Place) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if own, ok := b.own[p.Server.ID]; ok {
+		own.running--
+		own.tokens -= p.Tokens
+	}
+}
+
+// Load returns what this instance has put on the servers.
+func (b *Balancer) Load() map[string]gossip.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]gossip.Load{}
+	for id, s := range b.own {
+		if s.running > 0 {
+			out[id] = gossip.Load{Running: s.running, Tokens: s.tokens}
+		}
+	}
+	return out
+}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -113,21 +113,31 @@
 // readLine returns the next line without its end. It is valid until the next
 // call.
 func (e *Reader) readLine() ([]byte, error) {
+	line, err := e.rawLine()
+	if err != nil {
+		return nil, err
+	}
+	return trimEnd(line), nil
+}
+
+// rawLine returns the next line with its end, or what came of it with the
+// error that ended it. It is valid until the next call.
+func (e *Reader) rawLine() ([]byte, error) {
 	e.line = e.line[:0]
 	for {
 		part, err := e.r.ReadSlice('\n')
 		if err == nil && len(e.line) == 0 {
-			return trimEnd(part), nil
-		}
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, err
+			return part, nil
 		}
 		if len(e.line)+len(part) > maxEventBytes {
 			return nil, merry.Wrap(ErrMalformed, merry.AppendMessage("line too long"))
 		}
 		e.line = append(e.line, part...)
 		if err == nil {
-			return trimEnd(e.line), nil
+			return e.line, nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return e.line, err
 		}
 	}
 }
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -167,6 +167,11 @@
 	if !r.SkipBody && r.Header.ContentLength() > c.opts.MaxResponseBytes {
 		return merry.Wrap(ErrTooLarge)
 	}
+	if r.unframed() && !r.SkipBody {
+		err := r.readUnframed(c.opts.MaxResponseBytes)
+		r.finish(true)
+		return err
+	}
 	if err := respcodec.ReadRespBody(r.Response, r.conn, c.opts.MaxResponseBytes); err != nil {
 		return readError(err)
 	}
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -33,7 +33,45 @@
 func (r *Response) Bytes() []byte { return r.Response.Body() }
 
 // Body returns the body of a response that was asked for with [Call.Stream].
-func (r *Response) Body() io.Reader { return r.BodyStream() }
+func (r *Response) Body() io.Reader {
+	if r.unframed() {
+		return unframedBody{r.conn}
+	}
+	return r.BodyStream()
+}
+
+// codecIdentity is how the codec tells a body that ends with its connection.
+const codecIdentity = -2
+
+// unframed reports whether the body ends with its connection.
+func (r *Response) unframed() bool { return r.Header.ContentLength() == codecIdentity }
+
+// unframedBody is a body that ends with its connection. The codec takes any end
+// for the end of such a body, also a reset: an answer that was broken off would
+// look whole to the caller.
+type unframedBody struct{ conn io.Reader }
+
+// Read implements io.Reader; io.EOF means that the server closed in order.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.conn.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = merry.Wrap(ErrLost, merry.WithCause(err))
+	}
+	return n, err
+}
+
+// readUnframed reads a whole body that ends with its connection.
+func (r *Response) readUnframed(limit int) error {
+	body, err := io.ReadAll(io.LimitReader(unframedBody{r.conn}, int64(limit)+1))
+	switch {
+	case err != nil:
+		return err
+	case len(body) > limit:
+		return merry.Wrap(ErrTooLarge)
+	}
+	r.SetBody(body)
+	return nil
+}
 
 // Close releases the response. A connection whose body was not read to its end
 // is closed, which tells the server that nobody listens.
@@ -45,6 +83,11 @@
 		// The codec would read a streamed body to its end to reuse the
 		// connection; for a generation that could be minutes away.
 		r.conn.Close()
+		if r.unframed() {
+			r.stream = false
+			r.discard()
+			return
+		}
 		if body, ok := r.BodyStream().(forceCloser); ok {
 			_ = body.ForceClose()
 		}
@@ -62,7 +105,7 @@
 // that Close keeps the connection for another exchange. The end may never come
 // on a link that went silent, so it waits only shortly.
 func (r *Response) Drain() {
-	if !r.stream || r.conn.SetReadTimeout(drainTimeout) != nil {
+	if !r.stream || r.unframed() || r.conn.SetReadTimeout(drainTimeout) != nil {
 		return
 	}
 	var rest [1]byte
@@ -79,6 +122,10 @@
 }
 
 func (r *Response) openBody() error {
+	if r.unframed() {
+		r.stream = true
+		return nil
+	}
 	err := respcodec.ReadRespBodyStream(r.Response, r.conn, 0, func(bool) error { return nil })
 	if err != nil {
 		return merry.Wrap(ErrLost, merry.WithCause(err))
@@ -129,7 +176,7 @@
 		return r.Bytes(), nil
 	}
 	limit := r.client.opts.MaxResponseBytes
-	body, err := io.ReadAll(io.LimitReader(r.BodyStream(), int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body(), int64(limit)+1))
 	switch {
 	case err != nil:
 		return nil, merry.Wrap(ErrLost, merry.WithCause(err))
--- /dev/null
+++ b/internal/httpclient/unframed_test.go
@@ -0,0 +1,73 @@
+package httpclient
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A server answers without a length, so that the end of the connection is the
+// end of the answer. In the middle of it the server crashes and its connection
+// is reset. A caller that got what had come until then, with a length of our
+// own, would take half an answer for a whole one.
+func TestUnframedAnswerThatIsResetIsLost(t *testing.T) {
+	tests := map[string]struct {
+		reset  bool
+		stream bool
+	}{
+		"closed":           {},
+		"closed, streamed": {stream: true},
+		"reset":            {reset: true},
+		"reset, streamed":  {reset: true, stream: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			read := make(chan struct{})
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				<-read
+				if tt.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}()
+			c := New(Options{})
+			defer c.Close()
+			if !tt.stream {
+				close(read)
+			}
+			resp, err := get(t.Context(), c, ln.Addr().String(), Call{Alone: true, Stream: tt.stream})
+			if tt.stream {
+				require.NoError(t, err)
+				defer resp.Close()
+				_, err = io.ReadFull(resp.Body(), make([]byte, 4))
+				require.NoError(t, err)
+				close(read)
+				_, err = resp.Body().Read(make([]byte, 1))
+				if !tt.reset {
+					require.ErrorIs(t, err, io.EOF)
+					return
+				}
+			}
+			if tt.reset {
+				require.ErrorIs(t, err, ErrLost)
+				return
+			}
+			require.NoError(t, err)
+			defer resp.Close()
+			require.Equal(t, "half", string(resp.Bytes()))
+		})
+	}
+}
--- /dev/null
+++ b/internal/ingress/runs.go
@@ -0,0 +1,178 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/observed"
+)
+
+// runs are the streams at work.
+type runs struct {
+	mu  sync.Mutex
+	all map[*run]struct{}
+}
+
+func newRuns() *runs { return &runs{all: map[*run]struct{}{}} }
+
+func (r *runs) begin(req *request, place balancer.Place) *run {
+	one := &run{request: req, place: place, lastID: req.lastEvent, handed: make(chan handover, 1)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[one] = struct{}{}
+	return one
+}
+
+func (r *runs) end(one *run) {
+	one.finish()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.all, one)
+}
+
+func (r *runs) list() []*run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*run, 0, len(r.all))
+	for one := range r.all {
+		out = append(out, one)
+	}
+	return out
+}
+
+// handover says where a stopped generation goes on.
+type handover struct {
+	to     balancer.Place
+	source string
+	handle string
+	err    error
+}
+
+// run is one stream and the server it runs on. The handler reads it and writes
+// it, a carrier moves it.
+type run struct {
+	request *request
+	handed  chan handover
+
+	mu       sync.Mutex
+	place    balancer.Place
+	lastID   int64
+	events   int64
+	carrying bool
+	stopping bool
+	done     bool
+}
+
+func (r *run) advance(id int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events++
+	if id > 0 {
+		r.lastID = id
+	}
+}
+
+func (r *run) last() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastID
+}
+
+func (r *run) position() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events
+}
+
+func (r *run) server() observed.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.place.Server
+}
+
+func (r *run) where() balancer.Place {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.place
+}
+
+// unclaimed gives the load of a move that nobody waited for to release.
+func (r *run) unclaimed(release func(balancer.Place)) {
+	select {
+	case h := <-r.handed:
+		if h.err == nil {
+			release(h.to)
+		}
+	default:
+	}
+}
+
+func (r *run) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = true
+}
+
+func (r *run) finished() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
+// claim makes the caller the run's only carrier; release ends that.
+func (r *run) claim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.carrying || r.done || r.stopping {
+		return false
+	}
+	r.carrying = true
+	return true
+}
+
+func (r *run) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.carrying = false
+}
+
+// stop notes that the server is told to stop the run: from now on the end of
+// its stream isn't the end of the generation.
+func (r *run) stop() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		return false
+	}
+	r.stopping = true
+	return true
+}
+
+func (r *run) stopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
+
+// await waits for the end of the move that stopped the run.
+func (r *run) await(ctx context.Context, limit time.Duration) (handover, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case h := <-r.handed:
+		return h, h.err
+	case <-timer.C:
+		return handover{}, errMoveLost
+	case <-ctx.Done():
+		return handover{}, ctx.Err()
+	}
+}
+
+// moveTo notes where the run goes on; it may be carried again from there.
+func (r *run) moveTo(place balancer.Place) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.place, r.stopping = place, false
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,254 @@
+// Package ingress serves callers whose requests are routed by host and path to
+// backend servers: model engines, whose generations it relays event by event
+// and carries on when their engine leaves, and plain services.
+//
+// One request goes through one file after the other: request.go matches it to
+// route and workspace, attempts.go sends it to backend servers until one has
+// an answer, stream.go relays a generation, carry.go moves it to another
+// engine.
+//
+// # Usage
+//
+//	s, err := ingress.NewServer(ingress.Options{...})
+//	go s.Run(ctx)
+//	...
+//	s.Drain()
+//	s.Shutdown(ctx)
+package ingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"pollenspindle.example/pollenspindle/internal/answer"
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/upstream"
+)
+
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 8 << 20
+	// readTimeout bounds reading one request.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds a write to a caller that doesn't read.
+	writeTimeout = 5 * time.Second
+	// idleTimeout ends unused connections. It is above what callers are told
+	// they may reuse, so that a request doesn't cross a close.
+	idleTimeout = 60 * time.Second
+	// carries bounds the generations that are being moved at the same time.
+	carries = 64
+	// directoryKeep is how long callers may keep an answer of the directory.
+	// Some keep it three times as long, within which a dead instance costs
+	// them a failed connection.
+	directoryKeep = time.Second
+)
+
+// Options configures a [Server].
+type Options struct {
+	// Callers, Ready and Directory are the listeners for requests, for the
+	// platform's check and for callers that ask where to connect.
+	Callers   net.Listener
+	Ready     net.Listener
+	Directory net.Listener
+	Zone      string
+	State     *observed.State
+	Dialect   dialect.Dialect
+	Balancer  *balancer.Balancer
+	Retries   *retry.Budgets
+	// Instances returns how many instances share common limits.
+	Instances func() int
+	// Addresses returns the instances that a caller in a zone may use.
+	Addresses func(now time.Time, zone string) []string
+	// Grace is how long requests have to end after [Server.Drain].
+	Grace  time.Duration
+	Log    zerolog.Logger
+	Scope  tally.Scope
+	Tracer trace.Tracer
+	Now    func() time.Time
+}
+
+// Server serves callers.
+type Server struct {
+	opts     Options
+	fields   dialect.Fields
+	internal map[string]bool
+	hertz    []*server.Hertz
+	upstream *upstream.Client
+	runs     *runs
+	carriers *ants.Pool
+	log      zerolog.Logger
+
+	draining  atomic.Bool
+	drainedAt atomic.Int64
+	active    sync.WaitGroup
+	running   atomic.Int64
+}
+
+// NewServer returns a server that is ready to run.
+func NewServer(opts Options) (*Server, error) {
+	s := &Server{
+		opts: opts, fields: opts.Dialect.Fields, internal: map[string]bool{}, upstream: upstream.New(),
+		runs: newRuns(), log: opts.Log,
+	}
+	for _, name := range opts.Dialect.Fields.Internal {
+		s.internal[strings.ToLower(name)] = true
+	}
+	var err error
+	if s.carriers, err = ants.NewPool(carries, ants.WithNonblocking(true)); err != nil {
+		return nil, merry.Prepend(err, "make pool of carriers")
+	}
+	callers, ready, directory := newHertz(opts.Callers), newHertz(opts.Ready), newHertz(opts.Directory)
+	callers.NoRoute(s.handle)
+	ready.GET(opts.Dialect.Paths.Ready, s.ready)
+	directory.GET(opts.Dialect.Paths.Directory, s.directory)
+	s.hertz = []*server.Hertz{callers, ready, directory}
+	return s, nil
+}
+
+func newHertz(listener net.Listener) *server.Hertz {
+	options := []config.Option{
+		server.WithListener(listener),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePrintRoute(true),
+		server.WithRedirectTrailingSlash(false),
+		server.WithRedirectFixedPath(false),
+		server.WithUseRawPath(true),
+		server.WithUnescapePathValues(false),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithReadTimeout(readTimeout),
+		server.WithWriteTimeout(writeTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithExitWaitTime(0),
+		server.WithDisableDefaultDate(true),
+		server.WithDisableDefaultContentType(true),
+	}
+	return server.New(options...)
+}
+
+// Run serves until Shutdown.
+func (s *Server) Run(ctx context.Context) error {
+	failed := make(chan error, len(s.hertz))
+	for _, h := range s.hertz {
+		go func() { failed <- h.Run() }()
+	}
+	go s.carry(ctx)
+	for range s.hertz {
+		if err := <-failed; err != nil && ctx.Err() == nil && !s.draining.Load() {
+			return merry.Prepend(err, "serve callers")
+		}
+	}
+	return nil
+}
+
+// Ready reports whether callers may be sent here.
+func (s *Server) Ready() bool { return s.opts.State.Table() != nil && !s.draining.Load() }
+
+// Drain fails readiness and has callers leave with their next answers.
+func (s *Server) Drain(now time.Time) {
+	s.drainedAt.Store(now.UnixNano())
+	s.draining.Store(true)
+}
+
+// Running returns how many requests are at work.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// Shutdown waits until requests have ended, or ctx has, and closes.
+func (s *Server) Shutdown(ctx context.Context) {
+	idle := make(chan struct{})
+	go func() { s.active.Wait(); close(idle) }()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	for _, h := range s.hertz {
+		_ = h.Close()
+	}
+	s.carriers.Release()
+	s.upstream.Close()
+}
+
+func (s *Server) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (s *Server) ready(_ context.Context, c *app.RequestContext) {
+	status := http.StatusOK
+	if !s.Ready() {
+		status = http.StatusServiceUnavailable
+	}
+	c.SetStatusCode(status)
+}
+
+func (s *Server) directory(_ context.Context, c *app.RequestContext) {
+	addresses := s.opts.Addresses(s.opts.Now(), c.Query(s.opts.Dialect.DirectoryZone))
+	c.Data(http.StatusOK, "application/json", s.opts.Dialect.Directory(addresses, directoryKeep))
+}
+
+// handle answers one request of a caller.
+func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
+	s.active.Add(1)
+	s.running.Add(1)
+	defer s.active.Done()
+	defer s.running.Add(-1)
+	now := s.opts.Now()
+	if s.draining.Load() {
+		c.SetConnectionClose()
+	}
+	r, err := s.read(now, c)
+	if err == nil {
+		ctx, span := s.opts.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
+		err = s.serve(ctx, c, r)
+		span.End()
+	}
+	if err != nil {
+		s.fail(c, r, err)
+	}
+}
+
+// fail answers with a failure of this instance's own.
+func (s *Server) fail(c *app.RequestContext, r *request, err error) {
+	f := answer.Of(err)
+	s.opts.Scope.Tagged(map[string]string{"code": string(f.Code)}).Counter("failures").Inc(1)
+	line := s.log.Info().Int("status", f.Status).Str("code", string(f.Code)).Str("outcome", string(f.Outcome)).Dur("retryAfter", f.RetryAfter)
+	if r != nil {
+		line = line.Str("request", r.id).Str("service", r.serviceName()).Dur("took", s.opts.Now().Sub(r.start))
+	}
+	line.Msg("request failed")
+	if errors.Is(err, errBroken) {
+		return
+	}
+	if f.RetryAfter > 0 {
+		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if id := c.GetHeader(s.fields.RequestID); len(id) > 0 {
+		c.Response.Header.Set(s.fields.RequestID, string(id))
+	}
+	c.Data(f.Status, "application/json", f.JSON())
+}
+
+func (r *request) serviceName() string {
+	if r.service == nil {
+		return ""
+	}
+	return r.service.Name
+}
--- /dev/null
+++ b/internal/ingress/stream.go
@@ -0,0 +1,226 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/eventstream"
+	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/routes"
+	"pollenspindle.example/pollenspindle/internal/service"
+	"pollenspindle.example/pollenspindle/internal/upstream"
+)
+
+const (
+	routesStream        = routes.Stream
+	routesNonIdempotent = routes.NonIdempotent
+	// handoverWait is how long a stream that was stopped for a move waits for
+	// the move to end.
+	handoverWait = 1200 * time.Millisecond
+	// maxResumes bounds how often one stream goes on after it was cut.
+	maxResumes = 6
+)
+
+// breakable writes a chunked body that can be left without its end, which is
+// how a caller learns that the answer isn't whole.
+type breakable struct {
+	network.ExtWriter
+	conn   network.Conn
+	broken bool
+}
+
+// Finalize writes the end of the body, or closes the connection without it.
+func (b *breakable) Finalize() error {
+	if b.broken {
+		return b.conn.Close()
+	}
+	return b.ExtWriter.Finalize()
+}
+
+// flow is one stream towards a caller.
+type flow struct {
+	s      *Server
+	c      *app.RequestContext
+	r      *request
+	run    *run
+	writer *breakable
+}
+
+// stream sends a request for a stream to one server and relays what comes.
+func (s *Server) stream(ctx context.Context, c *app.RequestContext, r *request, place balancer.Place, timer *time.Timer) result {
+	f := &flow{s: s, c: c, r: r, run: s.runs.begin(r, place)}
+	defer f.end()
+	a, err := s.upstream.Do(ctx, place.Server.Address, s.outgoing(s.opts.Now(), r, place, nil), true)
+	if err != nil {
+		return lostOf(err)
+	}
+	for resumes := 0; ; resumes++ {
+		if res := s.checked(r, a); a.Status != http.StatusOK {
+			return res
+		} else if lost, ok := res.(failed); ok {
+			return f.cut(lost)
+		}
+		err = f.relay(a, timer)
+		a.Close()
+		switch {
+		case err == nil:
+			s.log.Info().Str("request", r.id).Int64("events", f.run.position()).Dur("took", s.opts.Now().Sub(r.start)).Msg("stream ended")
+			s.opts.Retries.Succeeded(s.opts.Now(), r.service.Name)
+			return ended{}
+		case ctx.Err() != nil || errors.Is(err, errCallerGone):
+			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
+		}
+		if resumes >= maxResumes {
+			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
+		}
+		next, rerr := f.resume(ctx)
+		if rerr != nil {
+			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
+		}
+		a = next
+	}
+}
+
+// end takes the stream's load off its server, and off the one that it was
+// about to be moved to.
+func (f *flow) end() {
+	f.s.runs.end(f.run)
+	f.s.opts.Balancer.Done(f.run.where())
+	f.run.unclaimed(f.s.opts.Balancer.Done)
+}
+
+// switchTo notes where the stream goes on; its load is counted there already.
+func (f *flow) switchTo(place balancer.Place) {
+	f.s.opts.Balancer.Done(f.run.where())
+	f.run.moveTo(place)
+}
+
+// cut ends a stream that can't go on. Before its first event it is an attempt
+// that failed; after it, the connection is closed without the body's end.
+func (f *flow) cut(lost failed) result {
+	if f.writer == nil {
+		return lost
+	}
+	f.writer.broken = true
+	f.c.SetConnectionClose()
+	f.s.log.Warn().Str("request", f.r.id).Str("server", f.run.server().ID).Int64("events", f.run.position()).
+		Dur("took", f.s.opts.Now().Sub(f.r.start)).Err(lost.err).Msg("stream cut")
+	f.s.opts.Scope.Counter("streams_cut").Inc(1)
+	return ended{errBroken}
+}
+
+var errCallerGone = errBroken
+
+// relay passes events on until the stream ends. Nil means that it is whole.
+func (f *flow) relay(a *upstream.Answer, timer *time.Timer) error {
+	events := eventstream.NewSplitter(a.Stream())
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if f.run.stopped() {
+				return eventstream.ErrCut
+			}
+			if f.writer == nil {
+				f.begin(a)
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		timer.Stop()
+		if ev.ID > 0 && ev.ID <= f.run.last() {
+			continue
+		}
+		if f.writer == nil {
+			f.begin(a)
+		}
+		if _, err := f.writer.Write(ev.Bytes); err != nil {
+			return errCallerGone
+		}
+		if err := f.writer.Flush(); err != nil {
+			return errCallerGone
+		}
+		f.run.advance(ev.ID)
+	}
+}
+
+// begin writes the head of the answer, that of the first server.
+func (f *flow) begin(a *upstream.Answer) {
+	f.s.head(f.c, a)
+	f.writer = &breakable{ExtWriter: resp.NewChunkedBodyWriter(&f.c.Response, f.c.GetWriter()), conn: f.c.GetConn()}
+	f.c.Response.HijackWriter(f.writer)
+	f.s.log.Info().Str("request", f.r.id).Str("server", f.run.server().ID).Dur("took", f.s.opts.Now().Sub(f.r.start)).Msg("stream begins")
+}
+
+// resume goes on with a stream that was cut: where its memory was moved to, or
+// anew after its last event where the route allows it.
+func (f *flow) resume(ctx context.Context) (*upstream.Answer, error) {
+	if f.run.stopped() {
+		a, err := f.resumeMoved(ctx)
+		if err == nil {
+			return a, nil
+		}
+		f.s.log.Warn().Str("request", f.r.id).Err(err).Msg("moved generation didn't go on")
+	}
+	if !f.r.route.Resumable || f.writer == nil {
+		return nil, errNotResumable
+	}
+	return f.resumeAnew(ctx)
+}
+
+var errNotResumable = errRefused
+
+func (f *flow) resumeMoved(ctx context.Context) (*upstream.Answer, error) {
+	moved, err := f.run.await(ctx, handoverWait)
+	if err != nil {
+		return nil, err
+	}
+	from := service.Header{Name: f.s.fields.CarryFrom, Value: f.s.opts.Dialect.CarryFrom(moved.source, moved.handle)}
+	a, err := f.send(ctx, moved.to, from)
+	f.switchTo(moved.to)
+	f.s.log.Info().Str("request", f.r.id).Str("server", moved.to.Server.ID).Int64("after", f.run.last()).Err(err).Msg("generation goes on")
+	return a, err
+}
+
+// resumeAnew starts a resumable stream at another server, after its last event.
+func (f *flow) resumeAnew(ctx context.Context) (*upstream.Answer, error) {
+	now := f.s.opts.Now()
+	t := &attempts{excluded: map[string]bool{f.run.server().ID: true}}
+	if _, ok := f.s.opts.Retries.Decide(now, f.r.service.Name, retry.Attempt{Number: 1, Cause: retry.CauseLost}).(retry.Again); !ok {
+		return nil, errNotResumable
+	}
+	place, refusal := f.s.place(now, f.r, t)
+	if refusal != nil {
+		return nil, refusal
+	}
+	f.switchTo(place)
+	return f.send(ctx, place)
+}
+
+func (f *flow) send(ctx context.Context, to balancer.Place, more ...service.Header) (*upstream.Answer, error) {
+	if last := f.run.last(); last > 0 {
+		more = append(more, service.Header{Name: f.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
+	}
+	a, err := f.s.upstream.Do(ctx, to.Server.Address, f.s.outgoing(f.s.opts.Now(), f.r, to, more), true)
+	if err != nil {
+		return nil, err
+	}
+	if res, ok := f.s.checked(f.r, a).(failed); ok {
+		return nil, res.err
+	}
+	if a.Status != http.StatusOK {
+		a.Close()
+		return nil, errServerFailed
+	}
+	return a, nil
+}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -24,7 +24,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -100,8 +99,24 @@
 	ReadBurst      int
 	// OnCall is told of each call that left; it must not block.
 	OnCall func(Call)
+	// Form is how calls are written; nil takes that of the product's own
+	// interface.
+	Form Form
 }
 
+// The names of operations.
+const (
+	opGet    = "get"
+	opList   = "list"
+	opCreate = "create"
+	opUpdate = "update"
+	opDelete = "delete"
+	opWatch  = "watch"
+)
+
+// reader takes in the body of a successful call.
+type reader func(body []byte) error
+
 // Client calls the object API. It is safe for concurrent use.
 type Client struct {
 	base      string
@@ -121,6 +136,9 @@
 	if opts.ReadsPerSecond == 0 {
 		opts.ReadsPerSecond = defaultReadsPerSecond
 	}
+	if opts.Form == nil {
+		opts.Form = ownForm{}
+	}
 	if opts.ReadBurst == 0 {
 		opts.ReadBurst = defaultReadBurst
 	}
@@ -140,7 +158,10 @@
 // Get reads one object, or answers [ErrNotFound].
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := c.read(ctx, call{op: "get", kind: kind, path: objectPath(kind, name)}, &o)
+	err := c.read(ctx, Operation{Op: opGet, Kind: kind, Name: name}, func(body []byte) (err error) {
+		o, err = c.opts.Form.Object(kind, body)
+		return err
+	})
 	return o, err
 }
 
@@ -156,9 +177,11 @@
 
 // ListPage reads one page of at most limit objects in order of name.
 func (c *Client) ListPage(ctx context.Context, kind, cursor string, limit int) (Page, error) {
-	query := url.Values{"limit": {strconv.Itoa(limit)}, "cursor": {cursor}}
 	var p Page
-	err := c.read(ctx, call{op: "list", kind: kind, path: "/objects/" + url.PathEscape(kind) + "?" + query.Encode()}, &p)
+	err := c.read(ctx, Operation{Op: opList, Kind: kind, Cursor: cursor, Limit: limit}, func(body []byte) (err error) {
+		p, err = c.opts.Form.Page(kind, body)
+		return err
+	})
 	return p, err
 }
 
@@ -183,25 +206,34 @@
 
 // Create stores a new object, or answers *[ConflictError] if there is one.
 func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (Object, error) {
-	header := http.Header{"If-None-Match": {"*"}}
-	var o Object
-	err := c.write(ctx, call{op: "create", method: http.MethodPut, kind: kind, path: objectPath(kind, name), header: header, body: value}, &o)
-	return o, err
+	return c.put(ctx, Operation{Op: opCreate, Kind: kind, Name: name, Value: value})
 }
 
 // Update replaces the object that has the given version, or answers
 // *[ConflictError].
 func (c *Client) Update(ctx context.Context, kind, name string, version int64, value []byte) (Object, error) {
+	return c.put(ctx, Operation{Op: opUpdate, Kind: kind, Name: name, Version: version, Value: value})
+}
+
+func (c *Client) put(ctx context.Context, op Operation) (Object, error) {
 	var o Object
-	err := c.write(ctx, call{op: "update", method: http.MethodPut, kind: kind, path: objectPath(kind, name), header: ifMatch(version), body: value}, &o)
+	err := c.write(ctx, op, func(body []byte) (err error) {
+		o, err = c.opts.Form.Object(op.Kind, body)
+		return err
+	})
 	return o, err
 }
 
 // Delete removes the object that has the given version, or answers
 // *[ConflictError].
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	var answer struct{}
-	return c.write(ctx, call{op: "delete", method: http.MethodDelete, kind: kind, path: objectPath(kind, name), header: ifMatch(version)}, &answer)
+	op := Operation{Op: opDelete, Kind: kind, Name: name, Version: version}
+	return c.write(ctx, op, func(body []byte) error {
+		if !json.Valid(body) {
+			return merry.New("answer is no JSON")
+		}
+		return nil
+	})
 }
 
 // Changes is the answer of a watch.
@@ -214,37 +246,19 @@
 // Watch waits, at most for wait, until an object of the kind changes after a
 // version. No events mean that nothing changed up to the answer.
 func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error) {
-	query := url.Values{
-		"after":      {strconv.FormatInt(after, 10)},
-		"waitMillis": {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}
 	var changes Changes
-	err := c.read(ctx, call{op: "watch", kind: kind, path: "/watch/" + url.PathEscape(kind) + "?" + query.Encode(), wait: wait}, &changes)
+	err := c.read(ctx, Operation{Op: opWatch, Kind: kind, After: after, Wait: wait}, func(body []byte) (err error) {
+		changes, err = c.opts.Form.Changes(kind, body)
+		return err
+	})
 	return changes, err
 }
 
-// call is one call before it is sent.
-type call struct {
-	op, method, kind, path string
-	header                 http.Header
-	body                   []byte
-	// wait is how long the platform may hold the answer back.
-	wait time.Duration
-}
-
-func objectPath(kind, name string) string {
-	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
-}
-
-func ifMatch(version int64) http.Header {
-	return http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(version, 10))}}
-}
-
 // read sends a call without effect, within the budget of reads. Every
 // failure to get an answer is ErrUnavailable.
-func (c *Client) read(ctx context.Context, k call, answer any) error {
-	k.method = http.MethodGet
-	ctx, cancel := context.WithTimeout(ctx, c.timeout(ctx)+k.wait)
+func (c *Client) read(ctx context.Context, o Operation, answer reader) error {
+	o.Stale = stale(ctx)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(ctx)+o.Wait)
 	defer cancel()
 	if time.Now().UnixNano() < c.heldUntil.Load() {
 		return merry.Wrap(ErrUnavailable, merry.AppendMessage("asked to wait"))
@@ -252,33 +266,34 @@
 	if err := c.reads.Wait(ctx); err != nil {
 		return merry.Wrap(ErrUnavailable, merry.AppendMessage("budget of reads spent"))
 	}
-	err := c.send(ctx, k, answer)
+	err := c.send(ctx, o, answer)
 	if errors.Is(err, ErrUnknownOutcome) {
 		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
 	}
 	return err
 }
 
-func (c *Client) write(ctx context.Context, k call, answer any) error {
+func (c *Client) write(ctx context.Context, o Operation, answer reader) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(ctx))
 	defer cancel()
-	return c.send(ctx, k, answer)
+	return c.send(ctx, o, answer)
 }
 
 // send makes the call, tells the hook and turns failures into errors of this
 // package.
-func (c *Client) send(ctx context.Context, k call, answer any) error {
+func (c *Client) send(ctx context.Context, o Operation, answer reader) error {
 	start := time.Now()
 	var exchange control.Exchange
-	err := c.roundTrip(ctx, k, &exchange, answer)
+	err := c.roundTrip(ctx, o, &exchange, answer)
 	if c.opts.OnCall != nil {
 		sent, received := exchange.Bytes()
-		c.opts.OnCall(Call{Op: k.op, Kind: k.kind, Duration: time.Since(start), Sent: sent, Received: received, Err: err})
+		c.opts.OnCall(Call{Op: o.Op, Kind: o.Kind, Duration: time.Since(start), Sent: sent, Received: received, Err: err})
 	}
 	return err
 }
 
-func (c *Client) roundTrip(ctx context.Context, k call, exchange *control.Exchange, answer any) error {
+func (c *Client) roundTrip(ctx context.Context, o Operation, exchange *control.Exchange, answer reader) error {
+	m := c.opts.Form.Encode(o)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -286,11 +301,11 @@
 			exchange.Begin(info.Conn, info.Reused)
 		},
 	})
-	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
+	req, err := http.NewRequestWithContext(ctx, m.Method, c.base+m.Path, bytes.NewReader(m.Body))
 	if err != nil {
 		return merry.Wrap(ErrRefused, merry.WithCause(err))
 	}
-	for name, values := range k.header {
+	for name, values := range m.Header {
 		req.Header[name] = values
 	}
 	resp, err := c.transport.RoundTrip(req)
@@ -302,7 +317,7 @@
 	if err != nil {
 		return c.lost(true, err)
 	}
-	return c.decode(resp, body, answer)
+	return c.decode(resp, o, body, answer)
 }
 
 // lost turns a missing answer into an error. Without a connection no byte of
@@ -320,10 +335,17 @@
 	return merry.Wrap(ErrUnknownOutcome, merry.WithCause(cause))
 }
 
-func (c *Client) decode(resp *http.Response, body []byte, answer any) error {
+func (c *Client) decode(resp *http.Response, o Operation, body []byte, answer reader) error {
+	if c.opts.Form.Conflict(resp.StatusCode) {
+		current, err := c.opts.Form.Object(o.Kind, body)
+		if err != nil {
+			return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
+		}
+		return &ConflictError{Current: current}
+	}
 	switch resp.StatusCode {
-	case http.StatusOK:
-		if err := json.Unmarshal(body, answer); err != nil {
+	case http.StatusOK, http.StatusCreated:
+		if err := answer(body); err != nil {
 			return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 		}
 		return nil
@@ -331,12 +353,6 @@
 		return merry.Wrap(ErrNotFound)
 	case http.StatusGone:
 		return merry.Wrap(ErrCompacted)
-	case http.StatusPreconditionFailed:
-		conflict := &ConflictError{}
-		if err := json.Unmarshal(body, &conflict.Current); err != nil {
-			return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
-		}
-		return conflict
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		if resp.Request.Method == http.MethodGet {
 			c.hold(resp.Header.Get("Retry-After"))
--- a/internal/objectapi/patience.go
+++ b/internal/objectapi/patience.go
@@ -57,3 +57,17 @@
 	}
 	return c.opts.Timeout
 }
+
+type staleKey struct{}
+
+// AllowStale returns a context whose reads may answer what was true seconds
+// ago. Such reads are cheaper for the platform; where it makes no difference
+// they are ordinary reads.
+func AllowStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, true)
+}
+
+func stale(ctx context.Context) bool {
+	allowed, _ := ctx.Value(staleKey{}).(bool)
+	return allowed
+}
--- /dev/null
+++ b/internal/observed/follow.go
@@ -0,0 +1,254 @@
+package observed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/objectapi"
+)
+
+const (
+	// watchWait is how long the platform may hold a watch back, as a watch on a
+	// connection that went silent, or one that the platform feeds nothing,
+	// hears of no change. It bounds the age of what is known well below the
+	// two seconds in which a change is to be in force.
+	watchWait = 900 * time.Millisecond
+	// callTimeout is what a call may take beyond its wait. An answer takes
+	// milliseconds, and some 300 ms on a platform that is overloaded.
+	callTimeout = 600 * time.Millisecond
+	// slowTimeout is what it may take after calls that failed.
+	slowTimeout = 3 * time.Second
+	// gather is the pause between two watches of servers. Several leave and
+	// come together, and each change alone would wake every instance.
+	gather = 60 * time.Millisecond
+	// serversFresh is how old the list of servers may get by cheap watches,
+	// which can be seconds behind, before it is read in full.
+	serversFresh = 1500 * time.Millisecond
+	// retryLeast and retryMost space calls to a platform that fails.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 700 * time.Millisecond
+	// sweepEvery is how often entries that stayed missing are dropped.
+	sweepEvery = 250 * time.Millisecond
+)
+
+// Options configures a [Follower].
+type Options struct {
+	State   *State
+	Objects *objectapi.Client
+	Dialect dialect.Dialect
+	Log     zerolog.Logger
+	Now     func() time.Time
+}
+
+// Follower keeps a [State] up to date from the platform, with one duty for
+// each kind of objects.
+type Follower struct {
+	opts Options
+	// outage is set while calls to the platform fail.
+	mu     sync.Mutex
+	failed int
+}
+
+// NewFollower returns a follower that is ready to run.
+func NewFollower(opts Options) *Follower { return &Follower{opts: opts} }
+
+// follow is one kind of objects.
+type follow struct {
+	part Part
+	kind string
+	// list takes over a whole list, apply one change.
+	list  func(now time.Time, version int64, objects []objectapi.Object)
+	apply func(now time.Time, e objectapi.Event)
+}
+
+// Run follows the platform until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	kinds := f.opts.Dialect.Kinds
+	for _, one := range []follow{
+		{Configuration, kinds.Configuration, f.listConfiguration, f.applyConfiguration},
+		{Servers, kinds.Servers, f.listServers, f.applyServer},
+		{Zones, kinds.DrainedZones, f.listZones, nil},
+	} {
+		duties.Go(func() { f.follow(ctx, one) })
+	}
+	duties.Go(func() { f.sweep(ctx) })
+	duties.Wait()
+}
+
+func (f *Follower) sweep(ctx context.Context) {
+	for objectapi.Pause(ctx, sweepEvery) == nil {
+		f.opts.State.Sweep(f.opts.Now())
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, one follow) {
+	backoff := objectapi.Backoff{Min: retryLeast, Max: retryMost}
+	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
+	for ctx.Err() == nil {
+		start := f.opts.Now()
+		version, objects, err := f.opts.Objects.List(objectapi.WithTimeout(ctx, patience.Timeout()), one.kind)
+		if err != nil {
+			patience.Fail(f.opts.Now().Sub(start))
+			f.lost(one, err)
+			if objectapi.Pause(ctx, backoff.Fail()) != nil {
+				return
+			}
+			continue
+		}
+		patience.Answered(f.opts.Now().Sub(start))
+		f.regained()
+		one.list(start, version, objects)
+		backoff.Reset()
+		f.watch(ctx, one, version, &patience)
+	}
+}
+
+// watch follows changes until the list has to be read again.
+func (f *Follower) watch(ctx context.Context, one follow, version int64, patience *objectapi.Patience) {
+	listed := f.opts.Now()
+	for ctx.Err() == nil {
+		start := f.opts.Now()
+		call := objectapi.WithTimeout(ctx, patience.Timeout())
+		if one.part == Servers {
+			if start.Sub(listed) > serversFresh {
+				return
+			}
+			call = objectapi.AllowStale(call)
+		}
+		changes, err := f.opts.Objects.Watch(call, one.kind, version, watchWait)
+		now := f.opts.Now()
+		if errors.Is(err, objectapi.ErrCompacted) {
+			return
+		}
+		if err != nil {
+			patience.Fail(now.Sub(start))
+			f.lost(one, err)
+			return
+		}
+		f.regained()
+		version = max(version, changes.Version)
+		if len(changes.Events) == 0 {
+			if one.part != Servers {
+				f.opts.State.Confirm(start, one.part, version)
+			}
+			continue
+		}
+		if one.apply == nil {
+			return
+		}
+		for _, e := range changes.Events {
+			one.apply(now, e)
+		}
+		if one.part == Configuration {
+			f.opts.State.Confirm(start, one.part, version)
+			continue
+		}
+		if objectapi.Pause(ctx, gather) != nil {
+			return
+		}
+	}
+}
+
+// lost and regained note an outage: what is missing right after it may return.
+func (f *Follower) lost(one follow, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed++
+	if f.failed == 1 {
+		f.opts.Log.Warn().Str("kind", one.kind).Err(err).Msg("platform lost")
+	}
+}
+
+func (f *Follower) regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed == 0 {
+		return
+	}
+	f.opts.Log.Info().Int("failedCalls", f.failed).Msg("platform regained")
+	f.failed = 0
+	f.opts.State.Returned(f.opts.Now())
+}
+
+func (f *Follower) listConfiguration(now time.Time, _ int64, objects []objectapi.Object) {
+	for _, o := range objects {
+		f.takeConfiguration(now, o)
+	}
+}
+
+func (f *Follower) applyConfiguration(now time.Time, e objectapi.Event) {
+	if e.Type == objectapi.EventPut {
+		f.takeConfiguration(now, e.Object)
+	}
+}
+
+func (f *Follower) takeConfiguration(now time.Time, o objectapi.Object) {
+	if o.Name != f.opts.Dialect.Kinds.ConfigurationName {
+		return
+	}
+	f.TakeRaw(now, o.Value, "platform")
+}
+
+// TakeRaw takes over a configuration as the platform holds it, which may have
+// come from another instance.
+func (f *Follower) TakeRaw(now time.Time, value []byte, source string) {
+	cfg, err := f.opts.Dialect.Configuration(value)
+	if err != nil {
+		f.opts.Log.Error().Err(err).Str("source", source).Msg("configuration not understood, the last one stays in force")
+		return
+	}
+	if f.opts.State.Configure(now, cfg, value) {
+		f.opts.Log.Info().Int64("version", cfg.Version).Str("source", source).Int("routes", len(cfg.Routes)).Msg("configuration in force")
+	}
+}
+
+func (f *Follower) listServers(now time.Time, version int64, objects []objectapi.Object) {
+	list := make([]dialect.Server, 0, len(objects))
+	for _, o := range objects {
+		if s, ok := f.server(o); ok {
+			list = append(list, s)
+		}
+	}
+	f.opts.State.ReplaceServers(now, version, list)
+}
+
+func (f *Follower) applyServer(now time.Time, e objectapi.Event) {
+	if e.Type == objectapi.EventDelete {
+		f.opts.Log.Info().Str("server", e.Object.Name).Msg("backend server gone")
+		f.opts.State.RemoveServer(now, e.Object.Name)
+		return
+	}
+	s, ok := f.server(e.Object)
+	if !ok {
+		// What was known of it is void: another writer may have replaced it.
+		f.opts.State.RemoveServer(now, e.Object.Name)
+		return
+	}
+	f.opts.Log.Info().Str("server", s.ID).Str("zone", s.Zone).Bool("leaving", s.Leaving).Msg("backend server")
+	f.opts.State.PutServer(now, s)
+}
+
+func (f *Follower) server(o objectapi.Object) (dialect.Server, bool) {
+	s, err := f.opts.Dialect.Server(o.Name, o.Value)
+	if err != nil {
+		f.opts.Log.Warn().Str("server", o.Name).Err(err).Msg("entry of a backend server not understood")
+		return s, false
+	}
+	return s, true
+}
+
+func (f *Follower) listZones(now time.Time, version int64, objects []objectapi.Object) {
+	zones := make([]string, 0, len(objects))
+	for _, o := range objects {
+		zones = append(zones, o.Name)
+	}
+	if f.opts.State.ReplaceZones(now, version, zones) && len(zones) > 0 {
+		f.opts.Log.Info().Strs("zones", zones).Msg("availability zones taken out")
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -73,21 +73,36 @@
 func (Again) decision()  {}
 func (GiveUp) decision() {}
 
+// Limits bound a budget.
+type Limits struct {
+	// SuccessShare is what one success adds, MaxTokens what may be saved up and
+	// FloorPerSecond what comes by time alone, in retries.
+	SuccessShare   float64
+	MaxTokens      float64
+	FloorPerSecond float64
+}
+
+// DefaultLimits are for deployments that declare none.
+var DefaultLimits = Limits{SuccessShare: successShare, MaxTokens: maxTokens, FloorPerSecond: floorPerSecond}
+
 // Budget bounds the retries of one service to a share of its recent
 // successes. It isn't safe for concurrent use; [Budgets] is.
 type Budget struct {
+	limits Limits
 	tokens float64
 	filled time.Time
 }
 
 // NewBudget returns a budget that is full.
-func NewBudget(now time.Time) *Budget {
-	return &Budget{tokens: maxTokens, filled: now}
+func NewBudget(now time.Time) *Budget { return newBudget(now, DefaultLimits) }
+
+func newBudget(now time.Time, l Limits) *Budget {
+	return &Budget{limits: l, tokens: l.MaxTokens, filled: now}
 }
 
 // Succeeded adds a success.
 func (b *Budget) Succeeded() {
-	b.tokens = min(maxTokens, b.tokens+successShare)
+	b.tokens = min(b.limits.MaxTokens, b.tokens+b.limits.SuccessShare)
 }
 
 // Left returns how many retries may be made at once.
@@ -116,7 +131,7 @@
 
 func (b *Budget) fill(now time.Time) {
 	if elapsed := now.Sub(b.filled); elapsed > 0 {
-		b.tokens = min(maxTokens, b.tokens+elapsed.Seconds()*floorPerSecond)
+		b.tokens = min(b.limits.MaxTokens, b.tokens+elapsed.Seconds()*b.limits.FloorPerSecond)
 		b.filled = now
 	}
 }
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -12,11 +12,19 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	byService map[string]*Budget
+	// limits are asked for at each use, as they may be a share of what several
+	// instances have together.
+	limits func() Limits
 }
 
 // NewBudgets returns budgets whose jitter comes from rng.
 func NewBudgets(rng *rand.Rand) *Budgets {
-	return &Budgets{rng: rng, byService: map[string]*Budget{}}
+	return NewSharedBudgets(rng, func() Limits { return DefaultLimits })
+}
+
+// NewSharedBudgets returns budgets whose limits may change while they are used.
+func NewSharedBudgets(rng *rand.Rand, limits func() Limits) *Budgets {
+	return &Budgets{rng: rng, byService: map[string]*Budget{}, limits: limits}
 }
 
 // Succeeded adds a success of service.
@@ -41,10 +49,13 @@
 }
 
 func (b *Budgets) budget(now time.Time, service string) *Budget {
+	limits := b.limits()
 	budget, ok := b.byService[service]
 	if !ok {
-		budget = NewBudget(now)
+		budget = newBudget(now, limits)
 		b.byService[service] = budget
 	}
+	budget.limits = limits
+	budget.tokens = min(budget.tokens, limits.MaxTokens)
 	return budget
 }
--- a/internal/service/fields.go
+++ b/internal/service/fields.go
@@ -10,9 +10,9 @@
 	"host", "content-length", "expect",
 }
 
-// connectionFields returns the fields that are not passed on: the fixed ones
+// ConnectionFields returns the fields that are not passed on: the fixed ones
 // and those that Connection names. Lower-case names.
-func connectionFields(header []Header) map[string]bool {
+func ConnectionFields(header []Header) map[string]bool {
 	drop := make(map[string]bool, len(hopByHop))
 	for _, name := range hopByHop {
 		drop[name] = true
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -226,7 +226,7 @@
 		target += "?" + req.Query
 	}
 	r.SetRequestURI(target)
-	drop := connectionFields(req.Header)
+	drop := ConnectionFields(req.Header)
 	for _, h := range req.Header {
 		if !drop[strings.ToLower(h.Name)] {
 			r.Header.Add(h.Name, h.Value)
@@ -242,7 +242,7 @@
 	resp.Header.VisitAll(func(name, value []byte) {
 		header = append(header, Header{Name: string(name), Value: string(value)})
 	})
-	drop := connectionFields(header)
+	drop := ConnectionFields(header)
 	kept := header[:0]
 	for _, h := range header {
 		if !drop[strings.ToLower(h.Name)] {
--- /dev/null
+++ b/internal/settings/ingress.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"io"
+	"os"
+
+	"pollenspindle.example/pollenspindle/internal/strictjson"
+)
+
+// Ingress is what one instance is told that routes requests by host and path.
+// Its file is JSON with comments, as that of [Settings].
+type Ingress struct {
+	// Instance is the name of this instance, unique in the deployment.
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	// CallerAddress, ReadyAddress, DirectoryAddress, PeerAddress and
+	// MetricsAddress are where the instance listens, host:port by IP number.
+	CallerAddress    string `json:"callerAddress"`
+	ReadyAddress     string `json:"readyAddress"`
+	DirectoryAddress string `json:"directoryAddress"`
+	PeerAddress      string `json:"peerAddress"`
+	MetricsAddress   string `json:"metricsAddress"`
+	// Seeds are peer addresses of instances to begin with, separated by
+	// commas; some may be out of date.
+	Seeds string `json:"seeds"`
+	// PlatformAddress is that of the platform's object API.
+	PlatformAddress string `json:"platformAddress"`
+	// PeerKey authenticates instances to each other: base64 of 32 bytes.
+	PeerKey string `json:"peerKey"`
+	// MemoryMegabytes is what the process may use.
+	MemoryMegabytes int `json:"memoryMegabytes"`
+	// GraceSeconds is how long requests have to end at a shutdown.
+	GraceSeconds float64 `json:"graceSeconds"`
+	// ColdOverage and ColdSlack bound cold backend servers together: requests
+	// a second are the server's own figure times ColdOverage plus ColdSlack.
+	ColdOverage float64 `json:"coldOverage"`
+	ColdSlack   float64 `json:"coldSlack"`
+	// RetryRatio and RetrySlack bound what is sent again, over all instances:
+	// in RetryWindowSeconds the ratio of all requests of a service, plus the
+	// slack.
+	RetryRatio         float64 `json:"retryRatio"`
+	RetrySlack         float64 `json:"retrySlack"`
+	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	Log                Log     `json:"log"`
+	Trace              Trace   `json:"trace"`
+}
+
+// leastMemory is what an instance with nothing to do needs, in megabytes.
+const leastMemory = 64
+
+// LoadIngress reads and checks the settings file at path.
+func LoadIngress(path string) (Ingress, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Ingress{}, readError(err, path)
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, strictjson.MaxBytes+1))
+	if err != nil {
+		return Ingress{}, readError(err, path)
+	}
+	return ParseIngress(path, data)
+}
+
+// ParseIngress is [LoadIngress] for settings that were read already.
+func ParseIngress(name string, data []byte) (Ingress, error) {
+	var s Ingress
+	doc := strictjson.Decode(data, &s)
+	if doc.WellFormed() {
+		checkIngress(doc, s)
+	}
+	if faults := doc.Faults(); len(faults) > 0 {
+		return Ingress{}, &InvalidError{Name: name, Faults: faults}
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = DefaultLogLevel
+	}
+	if s.Trace.Exporter == "" {
+		s.Trace.Exporter = ExporterNone
+	}
+	return s, nil
+}
+
+func checkIngress(doc *strictjson.Document, s Ingress) {
+	c := checker{doc}
+	c.name("instance", s.Instance)
+	c.name("zone", s.Zone)
+	addresses := []address{
+		{"callerAddress", s.CallerAddress}, {"readyAddress", s.ReadyAddress},
+		{"directoryAddress", s.DirectoryAddress}, {"peerAddress", s.PeerAddress},
+	}
+	for _, a := range addresses {
+		c.missing(a.path, a.value)
+	}
+	c.distinct(append(addresses, address{"metricsAddress", s.MetricsAddress}), false)
+	if !c.missing("platformAddress", s.PlatformAddress) {
+		c.distinct([]address{{"platformAddress", s.PlatformAddress}}, false)
+	}
+	c.key("peerKey", s.PeerKey)
+	if s.MemoryMegabytes != 0 && s.MemoryMegabytes < leastMemory {
+		c.add("memoryMegabytes", "must be at least %d", leastMemory)
+	}
+	for _, f := range []struct {
+		path  string
+		value float64
+	}{
+		{"graceSeconds", s.GraceSeconds}, {"coldOverage", s.ColdOverage}, {"coldSlack", s.ColdSlack},
+		{"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack}, {"retryWindowSeconds", s.RetryWindowSeconds},
+	} {
+		if f.value < 0 {
+			c.add(f.path, "must not be negative")
+		}
+	}
+	c.oneOf("log.level", s.Log.Level, logLevels)
+	c.trace(s.Trace)
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -16,6 +16,7 @@
 	"pollenspindle.example/pollenspindle/pkg/cmd/completion"
 	"pollenspindle.example/pollenspindle/pkg/cmd/config"
 	"pollenspindle.example/pollenspindle/pkg/cmd/generation"
+	"pollenspindle.example/pollenspindle/pkg/cmd/ingress"
 	"pollenspindle.example/pollenspindle/pkg/cmd/instance"
 	"pollenspindle.example/pollenspindle/pkg/cmd/log"
 	"pollenspindle.example/pollenspindle/pkg/cmd/model"
@@ -32,6 +33,7 @@
 // grammar is the command line.
 type grammar struct {
 	Serve      serve.Options      `cmd:"" help:"Run an entry instance"`
+	Ingress    ingress.Options    `cmd:"" help:"Run an instance that routes by host and path"`
 	Config     config.Command     `cmd:"" help:"Work with the configuration"`
 	Zone       zone.Command       `cmd:"" help:"Work with availability zones"`
 	Server     server.Command     `cmd:"" help:"Work with backend servers"`
@@ -48,6 +50,7 @@
 func Main(ctx context.Context, f *cmdutil.Factory, args []string) cmdutil.ExitCode {
 	commands := &grammar{
 		Serve:      serve.NewCmdServe(f),
+		Ingress:    ingress.NewCmdIngress(f),
 		Config:     config.NewCmdConfig(f),
 		Zone:       zone.NewCmdZone(f),
 		Server:     server.NewCmdServer(f),
