Close a server until it has ended

Cause: a run of the tests of internal/ingress stood still for ten minutes. Its dump shows one of three listeners serving on after Close: the HTTP library does nothing when it is closed between making its event loop and serving on it, and closing our listener doesn't end the copy that the library made of it. Ruled out: the tests' own engines (no goroutine of theirs was left) and the code that was new in the tree (none of it in the dump). Change: Close closes until serving has ended; Run after Close doesn't serve.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,9 @@
 	// idleTimeout ends unused connections. It is above what callers are told
 	// they may reuse, so that a request doesn't cross a close.
 	idleTimeout = 60 * time.Second
+	// closeEvery is how often a server that was closed while it began to serve
+	// is closed again; it takes some milliseconds to begin.
+	closeEvery = 20 * time.Millisecond
 	// carries bounds the generations that are being moved at the same time.
 	carries = 64
 	// directoryKeep is how long callers may keep an answer of the directory.
@@ -97,6 +101,11 @@
 	carriers *ants.Pool
 	log      zerolog.Logger
 
+	mu     sync.Mutex
+	closed bool
+	// served is closed when serving has ended; nil before it begins.
+	served chan struct{}
+
 	draining  atomic.Bool
 	drainedAt atomic.Int64
 	running   atomic.Int64
@@ -147,10 +156,15 @@
 
 // Run serves until Close.
 func (s *Server) Run(ctx context.Context) error {
+	if !s.begin() {
+		return nil
+	}
 	failed := make(chan error, len(s.hertz))
+	var serving sync.WaitGroup
 	for _, h := range s.hertz {
-		go func() { failed <- serveOn(h) }()
+		serving.Go(func() { failed <- serveOn(h) })
 	}
+	go func() { serving.Wait(); close(s.served) }()
 	go s.carry(ctx)
 	for range s.hertz {
 		if err := <-failed; err != nil && ctx.Err() == nil && !s.draining.Load() {
@@ -160,6 +174,17 @@
 	return nil
 }
 
+// begin reports whether the server may serve: not after it was closed.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.served = make(chan struct{})
+	return true
+}
+
 // ErrListener means that a listener failed.
 var ErrListener = merry.Sentinel("listener failed")
 
@@ -187,16 +212,32 @@
 func (s *Server) Running() int64 { return s.running.Load() }
 
 // Close ends the listeners and with them what is still at work.
+//
+// The failure: the library doesn't close a server that is on its way to serve,
+// which then serves for ever. So it is closed until it has ended.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	served := s.served
+	s.mu.Unlock()
+	for s.closeAll(); served != nil; s.closeAll() {
+		select {
+		case <-served:
+			served = nil
+		case <-time.After(closeEvery):
+		}
+	}
+	s.carriers.Release()
+	s.upstream.Close()
+}
+
+func (s *Server) closeAll() {
 	for _, h := range s.hertz {
 		_ = h.Close()
 	}
-	// A server that hadn't begun to serve would do so now, and for ever.
 	for _, l := range []net.Listener{s.opts.Callers, s.opts.Ready, s.opts.Directory} {
 		_ = l.Close()
 	}
-	s.carriers.Release()
-	s.upstream.Close()
 }
 
 func (s *Server) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
