Plan placing and copying for all instances by one; go on from copies

One instance, found by hashing, gives each copy its turn and its target, in its zone while there is room.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -17,6 +17,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -53,6 +54,16 @@
 	// fullQueue is how many times its slots a plain server takes: beyond, what
 	// waits there would be late at its usual service time.
 	fullQueue = 3.0
+	// readRate is how many tokens of prompts an engine reads in a second
+	// between the steps of its running generations: first tokens of prompts of
+	// 3,000 tokens came after 0.4 s on engines with nothing to read before.
+	readRate = 7000.0
+	// memoryCost is what memory in use weighs beside a second of waiting: more
+	// generations at once make each some hundredths slower. Above scarce, where
+	// outputs longer than expected preempt others, scarceCost is added.
+	memoryCost = 0.3
+	scarce     = 0.8
+	scarceCost = 4.0
 )
 
 // Bounds are the deployment's limits on cold servers.
@@ -68,12 +79,19 @@
 	Service *routes.Service
 	// Zone is where the bytes come from.
 	Zone string
-	// Tokens is the memory that the request is expected to need.
+	// Tokens is the memory that the request is expected to need, Prompt how
+	// much of it is to be read first.
 	Tokens int
+	Prompt int
 	// Excluded are servers by id that aren't to be chosen.
 	Excluded map[string]bool
 	// Instances is how many instances share the limits of cold servers.
 	Instances int
+	// Whole has all servers compared, however many there are.
+	Whole bool
+	// FarCost is what another availability zone weighs, as a share of a server;
+	// 0 stands for the usual weight.
+	FarCost float64
 	// Spread, if not 0, spreads requests over all servers with room, by this
 	// key, in place of choosing the freest.
 	Spread uint64
@@ -83,6 +101,8 @@
 type Place struct {
 	Server observed.Server
 	Tokens int
+	// Prompt is how many tokens the server reads before it begins.
+	Prompt int
 }
 
 // Choice is [Picked], [Full] or [None].
@@ -113,6 +133,8 @@
 	coldSince time.Time
 	coldSent  int
 	used      time.Time
+	// readUntil is when the prompts sent so far will have been read.
+	readUntil time.Time
 }
 
 // Balancer places the requests of one instance. It is safe for concurrent use.
@@ -160,7 +182,7 @@
 
 // sample draws a few servers from a long list.
 func (b *Balancer) sample(r Request, servers []observed.Server) []observed.Server {
-	if len(servers) <= wholeList || r.Spread != 0 {
+	if len(servers) <= wholeList || r.Whole || r.Spread != 0 {
 		return servers
 	}
 	out := make([]observed.Server, 0, sampleNear+sampleFar)
@@ -205,7 +227,7 @@
 	case best < 0:
 		return Full{}
 	}
-	return Picked{Place: Place{Server: servers[best], Tokens: r.Tokens}, Score: bestScore}
+	return Picked{Place: Place{Server: servers[best], Tokens: r.Tokens, Prompt: r.Prompt}, Score: bestScore}
 }
 
 // count puts the load of a request on its server.
@@ -213,6 +235,10 @@
 	own := b.server(now, p.Server.ID)
 	own.running++
 	own.tokens += p.Tokens
+	if now.After(own.readUntil) {
+		own.readUntil = now
+	}
+	own.readUntil = own.readUntil.Add(time.Duration(float64(p.Prompt) / readRate * float64(time.Second)))
 	if now.Before(p.Server.ColdUntil) {
 		b.countCold(now, own)
 	}
@@ -222,13 +248,34 @@
 	if r.Spread != 0 {
 		return spread(r, s, load+b.failures(now, s.ID)*failureCost)
 	}
-	score := load + b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
+	score := b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
+	if r.Service.Engine != nil {
+		score += b.wait(now, s.ID) + load*memoryCost + max(0, load-scarce)*scarceCost
+	} else {
+		score += load
+	}
 	if s.Zone != r.Zone {
-		score += zoneCost
+		score += cmp.Or(r.FarCost, zoneCost)
 	}
 	return score
 }
 
+// wait returns how many seconds an engine is expected to read the prompts that
+// it was sent before.
+//
+// Load: a dozen prompts a second of thousands of tokens each, and engines that
+// come and go. Harm: chosen by free memory, an engine that is new and empty gets
+// every prompt until its memory fills; callers wait there for seconds while all
+// others read nothing. A prompt's reading is known when it is sent, so that the
+// queue needs no reports: it is sent prompts and the time since.
+func (b *Balancer) wait(now time.Time, id string) float64 {
+	own, ok := b.own[id]
+	if !ok {
+		return 0
+	}
+	return max(0, own.readUntil.Sub(now).Seconds())
+}
+
 const (
 	// farRoom is what a server in another zone counts for where memory is to
 	// be copied to it: the copy takes twice as long.
@@ -373,6 +420,17 @@
 	}
 }
 
+// On returns what this instance has put on one server.
+func (b *Balancer) On(id string) gossip.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own, ok := b.own[id]
+	if !ok {
+		return gossip.Load{}
+	}
+	return gossip.Load{Running: own.running, Tokens: own.tokens}
+}
+
 // Load returns what this instance has put on the servers.
 func (b *Balancer) Load() map[string]gossip.Load {
 	b.mu.Lock()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -185,3 +185,33 @@
 		}
 	}
 }
+
+// Two engines of twelve are new and empty, the others hold generations. For
+// four seconds, eleven prompts a second come. Chosen by free memory, all go to
+// the two new ones, and callers wait there for seconds for the first token while
+// ten engines read nothing.
+func TestNewEngineIsNotFlooded(t *testing.T) {
+	const perSecond, seconds, prompt, onTime = 11, 4, 3000, 800 * time.Millisecond
+	list := servers(12, 24)
+	b := newBalancer(func(_ time.Time, id string) gossip.Load {
+		if id == "s0" || id == "s1" {
+			return gossip.Load{}
+		}
+		return gossip.Load{Running: 5, Tokens: 20000}
+	})
+	free, late := map[string]time.Time{}, 0
+	for i := range perSecond * seconds {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		r := Request{Service: engines, Zone: list[i%3].Zone, Tokens: 4000, Prompt: prompt, Instances: 1}
+		place := picked(t, b.Pick(now, r, list))
+		begin := now
+		if at := free[place.Server.ID]; at.After(begin) {
+			begin = at
+		}
+		free[place.Server.ID] = begin.Add(prompt * time.Second / readRate)
+		if free[place.Server.ID].Sub(now) > onTime {
+			late++
+		}
+	}
+	require.Zero(t, late)
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -73,8 +73,10 @@
 	Ready func() bool
 	// TakeRaw takes over a configuration that another instance has told.
 	TakeRaw func(now time.Time, value []byte, source string)
-	Log     zerolog.Logger
-	Now     func() time.Time
+	// Handlers are further calls that instances may make, by path.
+	Handlers map[string]http.Handler
+	Log      zerolog.Logger
+	Now      func() time.Time
 }
 
 // Gossip exchanges what instances know. Run and Serve are its duties.
@@ -85,18 +87,28 @@
 	rpcs   map[string]*connect.Client[Message, Message]
 }
 
-// plainJSON is a codec for plain structs.
-type plainJSON struct{}
+// PlainJSON is the codec for plain structs between instances.
+type PlainJSON struct{}
 
-func (plainJSON) Name() string                       { return "json" }
-func (plainJSON) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
-func (plainJSON) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+// Name returns the name of the codec.
+func (PlainJSON) Name() string { return "json" }
+
+// Marshal encodes v.
+func (PlainJSON) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
+
+// Unmarshal decodes data into v.
+func (PlainJSON) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+// NewClient returns a client for calls to other instances that take up to
+// timeout.
+func NewClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: timeout}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime}}
+}
 
 // New returns a gossip that is ready to run.
 func New(opts Options) *Gossip {
-	dialer := &net.Dialer{Timeout: exchangeTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime}
-	return &Gossip{opts: opts, client: &http.Client{Transport: transport}, rpcs: map[string]*connect.Client[Message, Message]{}}
+	return &Gossip{opts: opts, client: NewClient(exchangeTimeout), rpcs: map[string]*connect.Client[Message, Message]{}}
 }
 
 // Run exchanges with others until ctx ends.
@@ -145,7 +157,7 @@
 	defer cancel()
 	now := g.opts.Now()
 	req := connect.NewRequest(g.own(now))
-	req.Header().Set(authField, g.opts.Key.Token(now, g.opts.Self, procedure))
+	req.Header().Set(AuthField, g.opts.Key.Token(now, g.opts.Self, procedure))
 	res, err := g.rpc(address).CallUnary(ctx, req)
 	if err != nil {
 		g.opts.Log.Debug().Str("peer", address).Err(err).Msg("exchange failed")
@@ -156,7 +168,8 @@
 	g.take(g.opts.Now(), res.Msg, address)
 }
 
-const authField = "Peer-Auth"
+// AuthField is the header field with the sender's token.
+const AuthField = "Peer-Auth"
 
 func (g *Gossip) rpc(address string) *connect.Client[Message, Message] {
 	g.mu.Lock()
@@ -164,7 +177,7 @@
 	c, ok := g.rpcs[address]
 	if !ok {
 		c = connect.NewClient[Message, Message](g.client, "http://"+address+procedure,
-			connect.WithCodec(plainJSON{}), connect.WithReadMaxBytes(maxBytes), connect.WithSendGzip())
+			connect.WithCodec(PlainJSON{}), connect.WithReadMaxBytes(maxBytes), connect.WithSendGzip())
 		g.rpcs[address] = c
 	}
 	return c
@@ -208,7 +221,7 @@
 // answer is the other side of an exchange.
 func (g *Gossip) answer(_ context.Context, req *connect.Request[Message]) (*connect.Response[Message], error) {
 	now := g.opts.Now()
-	if _, err := g.opts.Key.Check(now, req.Header().Get(authField), procedure); err != nil {
+	if _, err := g.opts.Key.Check(now, req.Header().Get(AuthField), procedure); err != nil {
 		return nil, connect.NewError(connect.CodeUnauthenticated, peer.ErrUnauthenticated)
 	}
 	g.opts.Table.Merge(now, req.Msg.Records)
@@ -228,7 +241,10 @@
 func (g *Gossip) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, g.answer,
-		connect.WithCodec(plainJSON{}), connect.WithReadMaxBytes(maxBytes)))
+		connect.WithCodec(PlainJSON{}), connect.WithReadMaxBytes(maxBytes)))
+	for path, handler := range g.opts.Handlers {
+		mux.Handle(path, handler)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout, IdleTimeout: idleTime}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -22,6 +22,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -174,6 +176,27 @@
 	return all
 }
 
+// Planner returns the address of the ready instance that plans for a key, or
+// nothing where it is this one. Instances that know of each other choose the
+// same one for a key (rendezvous hashing), and different ones for others.
+func (t *Table) Planner(now time.Time, key string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address, best := "", xxhash.Sum64String(key+"\n"+t.self.ID)
+	if !t.self.Ready {
+		best = 0
+	}
+	for id, e := range t.rest {
+		if !e.Ready || now.Sub(e.heard) >= deadAfter {
+			continue
+		}
+		if n := xxhash.Sum64String(key + "\n" + id); n > best {
+			address, best = e.Peer, n
+		}
+	}
+	return address
+}
+
 // Peers returns the addresses of up to n others, at random: mostly of those
 // that live, and one of those that don't now and then, as it may be back.
 func (t *Table) Peers(now time.Time, rng *rand.Rand, n int) []string {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +16,7 @@
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
+	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/routes"
 	"pollenspindle.example/pollenspindle/internal/service"
@@ -90,7 +93,7 @@
 		if !now.Before(r.limit) {
 			return s.giveUp(c, r, t, lateFailure(t))
 		}
-		place, refusal := s.place(now, r, t)
+		place, refusal := s.place(ctx, now, r, t)
 		if refusal != nil {
 			return s.giveUp(c, r, t, refusal)
 		}
@@ -138,9 +141,12 @@
 }
 
 // place chooses a backend server.
-func (s *Server) place(now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
+func (s *Server) place(ctx context.Context, now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
+	if place, ok := s.planned(ctx, r, t); ok {
+		return place, nil
+	}
 	choice := s.opts.Balancer.Pick(now, balancer.Request{
-		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Excluded: t.excluded, Instances: s.opts.Instances(),
+		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Prompt: r.prompt, Excluded: t.excluded, Instances: s.opts.Instances(),
 	}, s.opts.State.Servers(r.service.Name))
 	switch choice := choice.(type) {
 	case balancer.Picked:
@@ -157,6 +163,32 @@
 	return balancer.Place{}, f
 }
 
+// planned has the instance that plans for the engines choose one. What it chose
+// counts only while this instance knows no reason against it.
+func (s *Server) planned(ctx context.Context, r *request, t *attempts) (balancer.Place, bool) {
+	if s.opts.Planner == nil || !r.generation() {
+		return balancer.Place{}, false
+	}
+	ask := planner.Placing{
+		Request: r.id, Service: r.service.Name, Zone: s.opts.Zone, Prompt: r.prompt, Need: r.prompt + r.output,
+		Excluded: slices.Collect(maps.Keys(t.excluded)),
+	}
+	id, err := s.opts.Planner.Place(ctx, ask)
+	if err != nil || t.excluded[id] {
+		return balancer.Place{}, false
+	}
+	for _, server := range s.opts.State.Servers(r.service.Name) {
+		if server.ID == id {
+			place := balancer.Place{Server: server, Tokens: ask.Need, Prompt: r.prompt}
+			s.opts.Balancer.Reserve(s.opts.Now(), place)
+			s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.number+1).
+				Int("tokens", place.Tokens).Msg("request placed by plan")
+			return place, true
+		}
+	}
+	return balancer.Place{}, false
+}
+
 // attempt sends the request to one backend server.
 func (s *Server) attempt(ctx context.Context, c *app.RequestContext, r *request, place balancer.Place, t *attempts) result {
 	now := s.opts.Now()
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
-	"pollenspindle.example/pollenspindle/internal/balancer"
-	"pollenspindle.example/pollenspindle/internal/dialect"
-	"pollenspindle.example/pollenspindle/internal/migration"
 	"pollenspindle.example/pollenspindle/internal/observed"
 )
 
@@ -93,19 +88,19 @@
 // run, or can't be reached, leaves everything as it is.
 func (s *Server) rescue(ctx context.Context, one *run) {
 	source := one.server()
-	m := &mover{s: s, one: one, source: source.Address, excluded: map[string]bool{source.ID: true}}
-	if !m.choose() || !one.stop() {
+	m := &mover{s: s, one: one, source: source, excluded: map[string]bool{source.ID: true}}
+	if !m.choose() || !one.stop(source.ID) {
 		m.unplace()
 		return
 	}
-	status, moved, err := m.order(ctx, true)
+	status, moved, err := s.order(ctx, one.request.id, source.Address, m.to.Server.Address, true)
 	s.log.Warn().Str("request", one.request.id).Str("server", source.ID).Int("status", status).Err(err).Msg("stream stands still, generation moved")
 	if err != nil {
 		m.unplace()
 		one.goOn()
 		return
 	}
-	one.handed <- handover{to: m.to, source: m.source, handle: moved.Handle}
+	one.handed <- handover{to: m.to, source: source.Address, handle: moved.Handle}
 	one.leaveStream()
 	if one.finished() {
 		one.unclaimed(s.opts.Balancer.Done)
@@ -160,148 +155,3 @@
 	server, listed := s.opts.State.Server(one.server().ID)
 	return !listed || server.Leaving
 }
-
-// move carries one run to another engine.
-func (s *Server) move(ctx context.Context, one *run, noticed time.Time) {
-	source := one.server()
-	p := migration.Progress{Noticed: noticed, Rest: rest(one)}
-	m := &mover{s: s, one: one, source: source.Address, excluded: map[string]bool{source.ID: true}}
-	for ctx.Err() == nil && !one.finished() {
-		switch migration.Next(s.opts.Now(), p).(type) {
-		case migration.Stay:
-			s.log.Info().Str("request", one.request.id).Str("server", source.ID).Int("refused", p.Refused).Dur("rest", p.Rest).Msg("generation stays")
-			m.drop(ctx)
-			return
-		case migration.Copy:
-			took, err := m.copy(ctx)
-			if err != nil {
-				p.Refused++
-				continue
-			}
-			p.Copies++
-			p.LastTook = took
-		case migration.Stop:
-			m.stop(ctx)
-			return
-		}
-	}
-	m.drop(ctx)
-}
-
-// rest is how long a run is expected to go on, or negative if unknown.
-func rest(one *run) time.Duration {
-	made := int(one.position()) * max(1, one.request.service.Engine.TokensPerEvent)
-	left := one.request.output - made
-	if left <= 0 {
-		return -1
-	}
-	return time.Duration(left) * tokenTime
-}
-
-// mover is the move of one run.
-type mover struct {
-	s        *Server
-	one      *run
-	source   string
-	excluded map[string]bool
-	// to is where the copy is, with its load counted; placed says so.
-	to     balancer.Place
-	placed bool
-	handle string
-}
-
-// copy copies to the engine chosen, or chooses one.
-func (m *mover) copy(ctx context.Context) (time.Duration, error) {
-	if !m.placed && !m.choose() {
-		return 0, errRefused
-	}
-	start := m.s.opts.Now()
-	status, moved, err := m.order(ctx, false)
-	took := m.s.opts.Now().Sub(start)
-	m.s.log.Info().Str("request", m.one.request.id).Str("from", m.source).Str("to", m.to.Server.ID).
-		Int("status", status).Dur("took", took).Err(err).Msg("generation copied")
-	if err != nil {
-		m.excluded[m.to.Server.ID] = true
-		m.unplace()
-		return took, err
-	}
-	m.handle = moved.Handle
-	return took, nil
-}
-
-func (m *mover) choose() bool {
-	r := m.one.request
-	made := int(m.one.position()) * max(1, r.service.Engine.TokensPerEvent)
-	choice := m.s.opts.Balancer.Pick(m.s.opts.Now(), balancer.Request{
-		Service: r.service, Zone: m.one.server().Zone, Tokens: r.prompt + max(r.output, made), Excluded: m.excluded, Instances: m.s.opts.Instances(),
-		Spread: xxhash.Sum64String(r.id),
-	}, m.s.opts.State.Servers(r.service.Name))
-	picked, ok := choice.(balancer.Picked)
-	m.to, m.placed = picked.Place, ok
-	return ok
-}
-
-func (m *mover) unplace() {
-	if m.placed {
-		m.s.opts.Balancer.Done(m.to)
-		m.placed = false
-	}
-}
-
-// stop stops the run and hands it over to its handler.
-func (m *mover) stop(ctx context.Context) {
-	if !m.one.stop() {
-		m.drop(ctx)
-		return
-	}
-	start := m.s.opts.Now()
-	status, moved, err := m.order(ctx, true)
-	h := handover{to: m.to, source: m.source, handle: moved.Handle, err: err}
-	if err != nil && moved.Handle != "" {
-		// The engine has stopped and keeps the memory; it goes on there.
-		h.to, h.err = balancer.Place{Server: m.one.server(), Tokens: m.to.Tokens}, nil
-		m.s.opts.Balancer.Reserve(m.s.opts.Now(), h.to)
-		m.unplace()
-	}
-	m.s.log.Info().Str("request", m.one.request.id).Str("from", m.source).Str("to", h.to.Server.ID).Int("status", status).
-		Int("events", moved.Events).Dur("took", m.s.opts.Now().Sub(start)).Err(err).Msg("generation stopped to be moved")
-	if h.err != nil {
-		m.unplace()
-	}
-	m.one.handed <- h
-	if m.one.finished() {
-		m.one.unclaimed(m.s.opts.Balancer.Done)
-	}
-}
-
-// drop gives back what was taken at another engine.
-func (m *mover) drop(ctx context.Context) {
-	m.unplace()
-	if m.handle == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
-	defer cancel()
-	path := m.s.opts.Dialect.Paths.Handle + "/" + m.handle
-	if _, _, err := m.s.upstream.Order(ctx, m.source, http.MethodDelete, path, nil); err != nil {
-		m.s.log.Debug().Str("request", m.one.request.id).Err(err).Msg("copy not freed, it lapses")
-	}
-}
-
-// order calls the engine that runs the generation.
-func (m *mover) order(ctx context.Context, last bool) (int, dialect.Moved, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	d := m.s.opts.Dialect
-	body := d.Move(dialect.Move{RequestID: m.one.request.id, To: m.to.Server.Address, Last: last})
-	status, data, err := m.s.upstream.Order(ctx, m.source, http.MethodPost, d.Paths.Move, body)
-	if err != nil {
-		moved := dialect.Moved{}
-		if json.Valid(data) {
-			moved, _ = d.Moved(data)
-		}
-		return status, moved, err
-	}
-	moved, err := d.Moved(data)
-	return status, moved, err
-}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -376,6 +376,9 @@
 
 // mobile is an engine that can move its run to another.
 type mobile struct {
+	// vanishes has it end when it is told to stop its run, without an answer.
+	vanishes bool
+
 	stop  chan struct{}
 	mu    sync.Mutex
 	moves []dialect.Move
@@ -388,10 +391,14 @@
 		var move dialect.Move
 		_ = json.NewDecoder(r.Body).Decode(&move)
 		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.moves = append(m.moves, move)
-		m.mu.Unlock()
 		if move.Last {
 			close(m.stop)
+			m.stop = make(chan struct{})
+		}
+		if move.Last && m.vanishes {
+			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, `{"Handle":"h1","Events":3}`)
 		return
@@ -408,8 +415,11 @@
 		events(4, 7, true)(w, r)
 		return
 	}
+	m.mu.Lock()
+	stop := m.stop
+	m.mu.Unlock()
 	events(1, 3, true)(w, r)
-	<-m.stop
+	<-stop
 	panic(http.ErrAbortHandler)
 }
 
@@ -454,6 +464,31 @@
 	}
 }
 
+// An engine that leaves is gone when its run, which has been copied, is told to
+// stop: the answer is lost, the stream breaks off. It goes on from the copy,
+// each event once, where it was cut before.
+func TestStreamGoesOnFromItsCopy(t *testing.T) {
+	a, b := &mobile{stop: make(chan struct{}), vanishes: true}, &mobile{stop: make(chan struct{}), vanishes: true}
+	f := start(t, map[string]http.Handler{"llm-1": a, "llm-2": b})
+	resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+	three := make([]byte, len(wantEvents(3)))
+	_, err := io.ReadFull(resp.Body, three)
+	require.NoError(t, err)
+	at, target := "llm-1", b
+	if strings.HasSuffix(resp.Header.Get("T-Seal"), "llm-2") {
+		at, target = "llm-2", a
+	}
+	for i := range f.list {
+		f.list[i].Leaving = f.list[i].ID == at
+	}
+	f.state.ReplaceServers(f.clock.now(), 2, f.list)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, wantEvents(7), string(three)+string(rest))
+	server, _ := f.state.Server(at)
+	require.Equal(t, server.Address+"/h1 after 3", target.from)
+}
+
 // Something between the instance and an engine has lost track of a stream's
 // connection: the engine goes on, new connections to it work, and no event
 // comes. The stream goes on from its memory elsewhere, each event once.
--- a/internal/ingress/runs.go
+++ b/internal/ingress/runs.go
@@ -66,6 +66,8 @@
 	carrying bool
 	stopping bool
 	done     bool
+	// copy is where the run's memory was copied to, if it was.
+	copy *handover
 	// begun is set by the first event, expired by the end of the time for it:
 	// whichever comes first.
 	begun   bool
@@ -144,6 +146,11 @@
 	return r.events
 }
 
+// tokens returns how many tokens the run has made.
+func (r *run) tokens() int {
+	return int(r.position()) * max(1, r.request.service.Engine.TokensPerEvent)
+}
+
 func (r *run) server() observed.Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -196,12 +203,49 @@
 	r.carrying = false
 }
 
+// isAt reports whether the run still goes on at a server.
+func (r *run) isAt(server string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.done && r.place.Server.ID == server
+}
+
+// keep notes a copy of the run's memory, and with it the load that is counted
+// for it; false means that the run has ended.
+func (r *run) keep(copy handover) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done || r.copy != nil {
+		return false
+	}
+	r.copy = &copy
+	return true
+}
+
+func (r *run) copied() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.copy != nil
+}
+
+// takeCopy hands the copy over, which can be used once, with its load.
+func (r *run) takeCopy() (handover, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copy == nil {
+		return handover{}, false
+	}
+	h := *r.copy
+	r.copy = nil
+	return h, true
+}
+
 // stop notes that the server is told to stop the run: from now on the end of
 // its stream isn't the end of the generation.
-func (r *run) stop() bool {
+func (r *run) stop(server string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.done {
+	if r.done || r.stopping || r.place.Server.ID != server {
 		return false
 	}
 	r.stopping = true
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -41,6 +41,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/upstream"
 )
@@ -82,6 +83,9 @@
 	Instances func() int
 	// Addresses returns the instances that a caller in a zone may use.
 	Addresses func(now time.Time, zone string) []string
+	// Planner plans with the other instances where generations begin and when
+	// they are copied; nil means that this one decides alone.
+	Planner *planner.Planner
 	// Grace is how long requests have to end after [Server.Drain].
 	Grace  time.Duration
 	Log    zerolog.Logger
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -24,6 +24,9 @@
 	// handoverWait is how long a stream that was stopped for a move waits for
 	// the move to end.
 	handoverWait = 1200 * time.Millisecond
+	// stopTimeout bounds the call to an engine whose stream has ended: it is
+	// gone, and refuses, or has to answer before callers notice a pause.
+	stopTimeout = 120 * time.Millisecond
 	// maxResumes bounds how often one stream goes on after it was cut.
 	maxResumes = 6
 )
@@ -105,6 +108,10 @@
 	f.s.runs.end(f.run)
 	f.s.opts.Balancer.Done(f.run.where())
 	f.run.unclaimed(f.s.opts.Balancer.Done)
+	if h, ok := f.run.takeCopy(); ok {
+		f.s.opts.Balancer.Done(h.to)
+		f.s.discard(h)
+	}
 }
 
 // switchTo notes where the stream goes on; its load is counted there already.
@@ -182,8 +189,8 @@
 	f.s.log.Info().Str("request", f.r.id).Str("server", f.run.server().ID).Dur("took", f.s.opts.Now().Sub(f.r.start)).Msg("stream begins")
 }
 
-// resume goes on with a stream that was cut: where its memory was moved to, or
-// anew after its last event where the route allows it.
+// resume goes on with a stream that was cut: where its memory was moved to,
+// from a copy of it, or anew after its last event where the route allows it.
 func (f *flow) resume(ctx context.Context) (*upstream.Answer, error) {
 	if f.run.stopped() {
 		a, err := f.resumeMoved(ctx)
@@ -192,6 +199,13 @@
 		}
 		f.s.log.Warn().Str("request", f.r.id).Err(err).Msg("moved generation didn't go on")
 	}
+	if h, ok := f.run.takeCopy(); ok {
+		a, err := f.resumeCopied(ctx, h)
+		if err == nil {
+			return a, nil
+		}
+		f.s.log.Warn().Str("request", f.r.id).Err(err).Msg("copied generation didn't go on")
+	}
 	if !f.r.route.Resumable || f.writer == nil {
 		return nil, errNotResumable
 	}
@@ -203,10 +217,30 @@
 	if err != nil {
 		return nil, err
 	}
-	from := service.Header{Name: f.s.fields.CarryFrom, Value: f.s.opts.Dialect.CarryFrom(moved.source, moved.handle)}
-	a, err := f.send(ctx, moved.to, from)
-	f.switchTo(moved.to)
-	f.s.log.Info().Str("request", f.r.id).Str("server", moved.to.Server.ID).Int64("after", f.run.last()).Err(err).Msg("generation goes on")
+	return f.goOnAt(ctx, moved)
+}
+
+// resumeCopied goes on from a copy that was made while the generation ran.
+//
+// The failure: an engine ends, or the connection to it, after a generation was
+// copied and before it was stopped. The other engine has all but its last
+// tokens and reads those anew. Should the first engine still be there, it is
+// told to stop: the generation must not go on at two.
+func (f *flow) resumeCopied(ctx context.Context, h handover) (*upstream.Answer, error) {
+	stop, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	status, _, err := f.s.order(stop, f.r.id, h.source, h.to.Server.Address, true)
+	f.s.log.Info().Str("request", f.r.id).Str("from", f.run.server().ID).Str("to", h.to.Server.ID).Int("status", status).Err(err).
+		Msg("engine lost, generation goes on from its copy")
+	return f.goOnAt(ctx, h)
+}
+
+// goOnAt sends the request to the engine that has its memory.
+func (f *flow) goOnAt(ctx context.Context, h handover) (*upstream.Answer, error) {
+	from := service.Header{Name: f.s.fields.CarryFrom, Value: f.s.opts.Dialect.CarryFrom(h.source, h.handle)}
+	a, err := f.send(ctx, h.to, from)
+	f.switchTo(h.to)
+	f.s.log.Info().Str("request", f.r.id).Str("server", h.to.Server.ID).Int64("after", f.run.last()).Err(err).Msg("generation goes on")
 	return a, err
 }
 
@@ -217,7 +251,7 @@
 	if _, ok := f.s.opts.Retries.Decide(now, f.r.service.Name, retry.Attempt{Number: 1, Cause: retry.CauseLost}).(retry.Again); !ok {
 		return nil, errNotResumable
 	}
-	place, refusal := f.s.place(now, f.r, t)
+	place, refusal := f.s.place(ctx, now, f.r, t)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -31,6 +31,7 @@
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/peer"
+	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
@@ -136,25 +137,30 @@
 		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
 		Instances: in.table.Count,
 	})
-	placing := balancer.New(balancer.Bounds{ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack},
-		rand.New(rand.NewPCG(rand.Uint64(), 1)), in.table.Load)
+	bounds := balancer.Bounds{ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack}
+	placing := balancer.New(bounds, rand.New(rand.NewPCG(rand.Uint64(), 1)), in.table.Load)
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
 	}
-	if err := in.buildServer(ctx, placing); err != nil {
+	plans := planner.New(planner.Options{
+		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.On,
+		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
+	})
+	if err := in.buildServer(ctx, placing, plans); err != nil {
 		return err
 	}
 	in.gossip = gossip.New(gossip.Options{
 		Table: in.table, State: in.state, Self: cfg.Instance, Key: key, Own: cfg.PeerAddress,
 		Seeds: strings.FieldsFunc(cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' }),
 		Load:  placing.Load, Ready: in.server.Ready, TakeRaw: in.follow.TakeRaw,
-		Log: telemetry.Part(in.tel.Log, "peer"), Now: time.Now,
+		Handlers: plans.Handlers(),
+		Log:      telemetry.Part(in.tel.Log, "peer"), Now: time.Now,
 	})
 	return nil
 }
 
-func (in *instance) buildServer(ctx context.Context, placing *balancer.Balancer) error {
+func (in *instance) buildServer(ctx context.Context, placing *balancer.Balancer, plans *planner.Planner) error {
 	cfg := in.cfg
 	var listeners [3]net.Listener
 	for i, address := range []string{cfg.CallerAddress, cfg.ReadyAddress, cfg.DirectoryAddress} {
@@ -168,7 +174,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.table.Count, Addresses: in.table.Callers,
+		Instances: in.table.Count, Addresses: in.table.Callers, Planner: plans,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -15,7 +15,11 @@
 //	}
 package migration
 
-import "time"
+import (
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/routes"
+)
 
 const (
 	// quickCopy is what a copy takes when nothing else waits for the links: a
@@ -34,6 +38,27 @@
 	maxTargets = 4
 )
 
+const (
+	// stopTime is what it takes beside the copy until the link is free for the
+	// next: two calls, and the rest that is copied after the stop.
+	stopTime = 12 * time.Millisecond
+	// farFactor is how much longer a copy to another availability zone takes.
+	farFactor = 2
+)
+
+// CopyTime returns for how long a generation with so many tokens in memory
+// takes its engine's link, until it is off.
+func CopyTime(e routes.Engine, tokens int, far bool) time.Duration {
+	if e.LinkMbps <= 0 {
+		return stopTime
+	}
+	d := time.Duration(float64(tokens) * e.TokenBytes * 8 / e.LinkMbps * float64(time.Microsecond))
+	if far {
+		d *= farFactor
+	}
+	return d + stopTime
+}
+
 // Progress is what was done for one generation.
 type Progress struct {
 	// Noticed is when this instance learned that the engine leaves.
@@ -43,6 +68,8 @@
 	Copies   int
 	LastTook time.Duration
 	Refused  int
+	// Turn says that the link was given to this generation alone.
+	Turn bool
 	// Rest is the expected time until the generation ends by itself; negative
 	// when nothing is known.
 	Rest time.Duration
@@ -79,7 +106,7 @@
 		return Stay{}
 	case p.Copies == 0:
 		return Copy{}
-	case p.LastTook <= quickCopy, now.Sub(p.Noticed) >= mustStop:
+	case p.Turn, p.LastTook <= quickCopy, now.Sub(p.Noticed) >= mustStop:
 		return Stop{}
 	}
 	return Copy{}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,277 @@
+package planner
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/peer"
+	"pollenspindle.example/pollenspindle/internal/routes"
+)
+
+// one is an instance's planner, with the address where others reach it.
+type one struct {
+	*Planner
+	table   *gossip.Table
+	address string
+}
+
+func engineList(n int) []dialect.Server {
+	out := make([]dialect.Server, n)
+	for i := range out {
+		out[i] = dialect.Server{ID: fmt.Sprintf("e%d", i), Service: "llm", Zone: fmt.Sprintf("zone-%d", i%3), Slots: 24}
+	}
+	return out
+}
+
+func startOne(t *testing.T, id, secret string, engines []dialect.Server) one {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	key, err := peer.NewKey(base64.StdEncoding.EncodeToString([]byte(strings.Repeat(secret, 32))))
+	require.NoError(t, err)
+	state, address := observed.NewState(), l.Addr().String()
+	state.Configure(time.Now(), routes.Configuration{Version: 1, Services: []routes.Service{{
+		Name: "llm", Engine: &routes.Engine{Slots: 24, MemoryTokens: 34000, TokenBytes: 163840, LinkMbps: 24000, Moves: true, TokensPerEvent: 4},
+	}}}, nil)
+	state.ReplaceServers(time.Now(), 1, engines)
+	table := gossip.NewTable(gossip.Record{ID: id, Peer: address, Zone: "zone-0", Started: 1, Ready: true})
+	p := New(Options{
+		Self: id, Table: table, Key: key, State: state, Bounds: balancer.Bounds{ColdOverage: 1.5, ColdSlack: 5},
+		Own: func(string) gossip.Load { return gossip.Load{} }, Log: zerolog.Nop(), Now: time.Now,
+	})
+	mux := http.NewServeMux()
+	for path, handler := range p.Handlers() {
+		mux.Handle(path, handler)
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { p.client.CloseIdleConnections(); _ = server.Close() })
+	return one{p, table, address}
+}
+
+// Two instances place generations in turn, each knowing nothing of the other's.
+// Whichever plans, no engine gets a second prompt before each has one.
+func TestInstancesShareOnePlan(t *testing.T) {
+	a, b := startOne(t, "a", "k", engineList(12)), startOne(t, "b", "k", engineList(12))
+	now := time.Now()
+	a.table.Merge(now, b.table.Records(now))
+	b.table.Merge(now, a.table.Records(now))
+	per := map[string]int{}
+	for i := range 12 {
+		asker := []one{a, b}[i%2]
+		id, err := asker.Place(t.Context(), Placing{Request: fmt.Sprint(i), Service: "llm", Zone: fmt.Sprintf("zone-%d", i%3), Prompt: 3000, Need: 4000})
+		require.NoError(t, err)
+		per[id]++
+	}
+	require.Len(t, per, 12)
+}
+
+// Eight generations of an engine that leaves, from two instances: each gets a
+// turn of its own at the link, to engines of its zone, none to the one that
+// leaves.
+func TestInstancesShareALink(t *testing.T) {
+	a, b := startOne(t, "a", "k", engineList(12)), startOne(t, "b", "k", engineList(12))
+	now := time.Now()
+	a.table.Merge(now, b.table.Records(now))
+	b.table.Merge(now, a.table.Records(now))
+	turns := make(chan Turn, 8)
+	for i := range 8 {
+		go func() {
+			turn, err := []one{a, b}[i%2].Ask(context.Background(), Leaving{
+				Run: fmt.Sprint(i), Service: "llm", Engine: "e0", Zone: "zone-0", Tokens: 3000, Need: 4000,
+			})
+			if err != nil {
+				turn.To = err.Error()
+			}
+			turns <- turn
+		}()
+	}
+	waits, targets := map[int64]bool{}, map[string]int{}
+	for range 8 {
+		turn := <-turns
+		require.Contains(t, []string{"e3", "e6", "e9"}, turn.To)
+		targets[turn.To]++
+		// A copy of 3,000 tokens takes 176 ms here.
+		waits[(turn.WaitMillis+88)/176] = true
+	}
+	require.Len(t, waits, 8)
+	require.Len(t, targets, 3)
+}
+
+// The instance that plans is dead, or doesn't believe the asker: the asker
+// learns so at once and decides by itself, and doesn't ask again for a while.
+func TestPlannerThatCannotBeAsked(t *testing.T) {
+	tests := map[string]func(t *testing.T) string{
+		"dead":     func(*testing.T) string { return "127.0.0.1:1" },
+		"stranger": func(t *testing.T) string { return startOne(t, "x", "s", engineList(3)).address },
+	}
+	for name, address := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := startOne(t, "a", "k", engineList(3))
+			a.table.SetReady(false)
+			a.table.Merge(time.Now(), []gossip.Record{{ID: "x", Peer: address(t), Ready: true, Started: 1, Beat: 1}})
+			for range 3 {
+				_, err := a.Place(t.Context(), Placing{Request: "1", Service: "llm", Prompt: 3000, Need: 4000})
+				require.ErrorIs(t, err, ErrUnavailable)
+			}
+			require.Len(t, a.resting, 1)
+		})
+	}
+}
+
+func TestPlaceWithoutRoom(t *testing.T) {
+	tests := map[string]struct {
+		engines  int
+		excluded []string
+		service  string
+		need     int
+	}{
+		"no engine":             {service: "llm"},
+		"all excluded":          {engines: 1, excluded: []string{"e0"}, service: "llm"},
+		"larger than an engine": {engines: 2, service: "llm", need: 50000},
+		"unknown service":       {engines: 2, service: "desk"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := startOne(t, "a", "k", engineList(tt.engines))
+			_, err := a.Place(t.Context(), Placing{Request: "1", Service: tt.service, Need: tt.need, Excluded: tt.excluded})
+			require.ErrorIs(t, err, ErrUnavailable)
+			_, err = a.Ask(t.Context(), Leaving{Run: "1", Service: tt.service, Engine: "e0", Need: tt.need})
+			if tt.engines < 2 || tt.service != "llm" || tt.need > 34000 {
+				require.ErrorIs(t, err, ErrUnavailable)
+			}
+		})
+	}
+}
+
+// Every engine is in one group, and groups are small enough to be planned for.
+func TestGroupsHoldAllEngines(t *testing.T) {
+	for _, n := range []int{1, 12, 48, 2000} {
+		list := make([]observed.Server, n)
+		for i := range list {
+			list[i].ID = fmt.Sprintf("engine-%d", i)
+		}
+		total, most := 0, 0
+		for g := range groupsOf(n) {
+			size := len(inGroup(list, g))
+			total, most = total+size, max(most, size)
+		}
+		require.Equal(t, n, total)
+		require.LessOrEqual(t, most, 2*groupSize)
+	}
+}
+
+// played is what callers got in a minute of load.
+type played struct{ requests, late int }
+
+// Eleven prompts a second come to seven instances before twelve engines, two of
+// which are replaced by new ones every three seconds. By what they have heard of
+// each other a second ago, all choose the new ones, and first tokens are late.
+// With one plan hardly any is.
+func TestFirstTokensAreOnTime(t *testing.T) {
+	alone, planned := play(7, false), play(7, true)
+	t.Logf("late: %d of %d alone, %d of %d planned", alone.late, alone.requests, planned.late, planned.requests)
+	require.LessOrEqual(t, planned.late, planned.requests/100)
+	require.Less(t, 4*planned.late, alone.late+1)
+}
+
+func play(instances int, planned bool) played {
+	const (
+		seconds, perSecond, onTime = 60, 11, 1500 * time.Millisecond
+		lag                        = handOver
+		stays                      = 8 * time.Second
+		readTime                   = 143 * time.Microsecond
+	)
+	type placed struct {
+		by     int
+		engine string
+		at     time.Time
+		tokens int
+		place  balancer.Place
+		done   bool
+	}
+	// counted is for how long a balancer counts what it has placed: to the end,
+	// or until the others' news has it.
+	counted := stays
+	if planned {
+		counted = lag
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	begin := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	var all []placed
+	// heard is what an instance knows of the others' generations.
+	heard := func(me int) func(time.Time, string) gossip.Load {
+		return func(now time.Time, id string) gossip.Load {
+			var l gossip.Load
+			for _, p := range all {
+				if (planned || p.by != me) && p.engine == id && now.Sub(p.at) > lag && now.Sub(p.at) < stays {
+					l.Running++
+					l.Tokens += p.tokens
+				}
+			}
+			return l
+		}
+	}
+	choosers := instances
+	if planned {
+		choosers = 1
+	}
+	balancers := make([]*balancer.Balancer, choosers)
+	for i := range balancers {
+		balancers[i] = balancer.New(balancer.Bounds{}, rng, heard(i))
+	}
+	service := &routes.Service{Name: "llm", Engine: &routes.Engine{Slots: 24, MemoryTokens: 34000}}
+	list := make([]observed.Server, 12)
+	name := func(i int) {
+		list[i].Server = dialect.Server{ID: fmt.Sprint("e", len(all), "-", i), Zone: fmt.Sprint("zone-", i%3), Slots: 24}
+	}
+	for i := range list {
+		name(i)
+	}
+	free, got := map[string]time.Time{}, played{}
+	for n := range seconds * perSecond {
+		now := begin.Add(time.Duration(n)*time.Second/perSecond + time.Duration(rng.IntN(90))*time.Millisecond)
+		if n%(3*perSecond) == 0 {
+			name(rng.IntN(12))
+			name(rng.IntN(12))
+		}
+		for i := range all {
+			if p := &all[i]; !p.done && now.Sub(p.at) > counted {
+				p.done = true
+				balancers[p.by].Done(p.place)
+			}
+		}
+		chooser := rng.IntN(choosers)
+		prompt := 1000 + rng.IntN(4000)
+		choice, ok := balancers[chooser].Pick(now, balancer.Request{Service: service, Zone: fmt.Sprint("zone-", n%3), Tokens: prompt + 900, Prompt: prompt}, list).(balancer.Picked)
+		got.requests++
+		if !ok {
+			got.late++
+			continue
+		}
+		id := choice.Place.Server.ID
+		all = append(all, placed{by: chooser, engine: id, at: now, tokens: choice.Place.Tokens, place: choice.Place})
+		if free[id].Before(now) {
+			free[id] = now
+		}
+		free[id] = free[id].Add(time.Duration(prompt) * readTime)
+		if free[id].Sub(now) > onTime {
+			got.late++
+		}
+	}
+	return got
+}
