Send each copy to the engine where it is over first

Change: the order of an engine's copies is decided together, and each goes where both links let it end first.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,6 +20,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,9 +90,6 @@
 	Instances int
 	// Whole has all servers compared, however many there are.
 	Whole bool
-	// FarCost is what another availability zone weighs, as a share of a server;
-	// 0 stands for the usual weight.
-	FarCost float64
 	// Spread, if not 0, spreads requests over all servers with room, by this
 	// key, in place of choosing the freest.
 	Spread uint64
@@ -230,6 +228,33 @@
 	return Picked{Place: Place{Server: servers[best], Tokens: r.Tokens, Prompt: r.Prompt}, Score: bestScore}
 }
 
+// Free returns the servers that have room for a request, the best first. It
+// counts nothing.
+func (b *Balancer) Free(now time.Time, r Request, servers []observed.Server) []observed.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	type scored struct {
+		server observed.Server
+		score  float64
+	}
+	var all []scored
+	for i := range servers {
+		s := &servers[i]
+		if r.Excluded[s.ID] || !b.bearsCold(now, r, s) {
+			continue
+		}
+		if load := b.load(now, r, s); load <= limit(r.Service) {
+			all = append(all, scored{*s, b.score(now, r, s, load)})
+		}
+	}
+	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(x.score, y.score) })
+	out := make([]observed.Server, len(all))
+	for i := range all {
+		out[i] = all[i].server
+	}
+	return out
+}
+
 // count puts the load of a request on its server.
 func (b *Balancer) count(now time.Time, p Place) {
 	own := b.server(now, p.Server.ID)
@@ -255,7 +280,7 @@
 		score += load
 	}
 	if s.Zone != r.Zone {
-		score += cmp.Or(r.FarCost, zoneCost)
+		score += zoneCost
 	}
 	return score
 }
@@ -386,6 +411,14 @@
 	}
 }
 
+// Failures returns how often a server failed lately, each failure counting less
+// as time goes by.
+func (b *Balancer) Failures(now time.Time, id string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failures(now, id)
+}
+
 func (b *Balancer) failures(now time.Time, id string) float64 {
 	own, ok := b.own[id]
 	if !ok || own.failures == 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -52,12 +52,9 @@
 	// handOver is how long the load of what was given out is counted here. By
 	// then the instance that got it has told of it.
 	handOver = 1200 * time.Millisecond
-	// farCost is what an engine in another availability zone weighs as the
-	// target of a copy. Load: an engine with full memory leaves in as long as
-	// its link takes to copy it within the zone; to another zone it takes twice
-	// as long. Harm: those that are last are cut. So engines of the zone are
-	// taken while any has room.
-	farCost = 0.9
+	// usualRest is what a generation of which nothing else is known is expected
+	// to make yet, in tokens: half of a usual one.
+	usualRest = 450
 	// groupSize is up to how many engines one instance plans for. Choosing
 	// among two dozen is nearly as good as among all, and a planner has some
 	// dozen calls a second at the size designed for.
@@ -347,24 +344,58 @@
 	if err != nil {
 		return Turn{}, err
 	}
-	picked, ok := p.plan.Pick(p.opts.Now(), balancer.Request{
-		Service: service, Zone: l.Zone, Tokens: l.Need, Excluded: map[string]bool{l.Engine: true},
-		Instances: p.opts.Table.Count(), Whole: true, FarCost: farCost,
-	}, p.opts.State.Servers(l.Service)).(balancer.Picked)
-	if !ok {
-		return Turn{}, ErrUnavailable
-	}
-	to := picked.Place.Server
-	time.AfterFunc(handOver, func() { p.plan.Done(picked.Place) })
 	now := p.opts.Now()
-	takes := migration.CopyTime(*service.Engine, l.Tokens, to.Zone != l.Zone)
-	decided := p.schedule.Add(now, Copy{Run: l.Run, From: l.Engine, To: to.ID, Takes: takes})
+	decided := p.schedule.Add(now, Copy{Run: l.Run, From: l.Engine, Tokens: l.Tokens})
 	if objectapi.Pause(ctx, decided.Sub(now)) != nil {
 		return Turn{}, ErrUnavailable
 	}
 	now = p.opts.Now()
-	wait := max(0, p.schedule.Begin(now, l.Engine, l.Run).Sub(now))
-	p.opts.Log.Info().Str("request", l.Run).Str("from", l.Engine).Str("to", to.ID).Int("tokens", l.Tokens).
-		Dur("wait", wait).Dur("takes", takes).Msg("turn given")
-	return Turn{WaitMillis: wait.Milliseconds(), To: to.ID}, nil
+	booked, ok := p.schedule.Turn(now, l.Engine, l.Run, &room{p: p, now: now, service: service, leaving: l})
+	if !ok {
+		return Turn{}, ErrUnavailable
+	}
+	wait := max(0, booked.At.Sub(now))
+	p.opts.Log.Info().Str("request", l.Run).Str("from", l.Engine).Str("to", booked.To).Int("tokens", l.Tokens).
+		Dur("wait", wait).Dur("takes", booked.Takes).Msg("turn given")
+	return Turn{WaitMillis: wait.Milliseconds(), To: booked.To}, nil
+}
+
+// room knows which engines have room for the copies of one that leaves.
+type room struct {
+	p       *Planner
+	now     time.Time
+	service *routes.Service
+	leaving Leaving
+	found   map[string]observed.Server
+}
+
+// For returns the engines with room, the freest first.
+func (r *room) For(c Copy) []Target {
+	free := r.p.plan.Free(r.now, balancer.Request{
+		Service: r.service, Zone: r.leaving.Zone, Tokens: r.need(c), Excluded: map[string]bool{r.leaving.Engine: true},
+		Instances: r.p.opts.Table.Count(),
+	}, r.p.opts.State.Servers(r.service.Name))
+	r.found = map[string]observed.Server{}
+	targets := make([]Target, 0, len(free))
+	for _, server := range free {
+		r.found[server.ID] = server
+		targets = append(targets, Target{ID: server.ID, Takes: migration.CopyTime(*r.service.Engine, c.Tokens, server.Zone != r.leaving.Zone)})
+	}
+	return targets
+}
+
+// need is the memory that a copy is expected to need: what the asker says, or
+// for others of the same engine a little more than they have now.
+func (r *room) need(c Copy) int {
+	if c.Run == r.leaving.Run {
+		return r.leaving.Need
+	}
+	return c.Tokens + usualRest
+}
+
+// Take counts a copy on the engine that it goes to, until others tell of it.
+func (r *room) Take(c Copy, t Target) {
+	place := balancer.Place{Server: r.found[t.ID], Tokens: r.need(c)}
+	r.p.plan.Reserve(r.now, place)
+	time.AfterFunc(handOver, func() { r.p.plan.Done(place) })
 }
