Have callers come back later while the platform is away

Ruled out: holding them (not accepted); serving without a configuration. Change: 1.5 s while calls to the platform fail, 0.7 s as before while it answers. TestRetryAfterWithoutConfiguration.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/gossip"
@@ -506,6 +507,27 @@
 	require.Equal(t, wantEvents(7), string(three)+string(rest))
 }
 
+// An instance knows no configuration. While it starts, callers are told to come
+// back soon; while the platform is away, when it may be back, as many callers
+// have one more try only.
+func TestRetryAfterWithoutConfiguration(t *testing.T) {
+	tests := map[string]struct {
+		outage bool
+		want   time.Duration
+	}{"starting": {want: denyRetryAfter}, "platform away": {outage: true, want: outageRetryAfter}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{opts: Options{State: observed.NewState()}}
+			if tt.outage {
+				s.opts.State.Lost()
+			}
+			f := answer.Of(s.unready())
+			require.Equal(t, answer.OutcomeNotRun, f.Outcome)
+			require.Equal(t, tt.want, f.RetryAfter)
+		})
+	}
+}
+
 // An instance is closed before it has begun to serve. It must end all the same.
 func TestCloseBeforeRun(t *testing.T) {
 	f := start(t, nil)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -27,6 +27,9 @@
 	// denyRetryAfter is when an instance without a fresh configuration is
 	// asked again; it hears of a new one within that unless it is cut off.
 	denyRetryAfter = 700 * time.Millisecond
+	// outageRetryAfter is the same while the platform doesn't answer. Callers
+	// wait for a third of their time at most.
+	outageRetryAfter = 1500 * time.Millisecond
 	// defaultOutput is the number of tokens expected of a generation that says
 	// nothing of itself.
 	defaultOutput = 256
@@ -63,7 +66,7 @@
 func (s *Server) read(now time.Time, c *app.RequestContext) (*request, error) {
 	table := s.opts.State.Table()
 	if table == nil {
-		return nil, unready()
+		return nil, s.unready()
 	}
 	r := &request{
 		id: string(c.GetHeader(s.fields.RequestID)), method: string(c.Method()),
@@ -86,7 +89,7 @@
 	}
 	name := route.Pick(s.rng())
 	if r.service, ok = table.Service(name); !ok {
-		return nil, unready()
+		return nil, s.unready()
 	}
 	s.bound(c, r)
 	r.header = s.passedOn(c)
@@ -121,16 +124,24 @@
 	return nil
 }
 
-func unready() error {
+// unready refuses for want of a configuration, or of one that is fresh.
+//
+// Load: all instances start anew while the platform is away, and every caller
+// comes at once. Harm: told to come back soon, all are refused a second time,
+// and have no third try. An outage lasts for seconds, a start for some tenths.
+func (s *Server) unready() error {
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodePlatformDown, "this instance knows no configuration yet")
 	f.RetryAfter = denyRetryAfter
+	if s.opts.State.Outage() {
+		f.RetryAfter = outageRetryAfter
+	}
 	return f
 }
 
 // deny says that something doesn't exist only as of a fresh configuration.
 func (s *Server) deny(now time.Time, f *answer.Failure) error {
 	if s.opts.State.Age(now, observed.Configuration) > denyFresh {
-		return unready()
+		return s.unready()
 	}
 	return f
 }
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -192,6 +192,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed++
+	f.opts.State.Lost()
 	if f.failed == 1 {
 		f.opts.Log.Warn().Str("kind", one.kind).Err(err).Msg("platform lost")
 	}
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -55,6 +55,8 @@
 type State struct {
 	table atomic.Pointer[routes.Table]
 	view  atomic.Pointer[view]
+	// outage is set while calls to the platform fail.
+	outage atomic.Bool
 
 	mu        sync.Mutex
 	servers   map[string]Server
@@ -161,8 +163,15 @@
 	}
 }
 
+// Lost notes that the platform doesn't answer.
+func (s *State) Lost() { s.outage.Store(true) }
+
+// Outage reports whether the platform doesn't answer.
+func (s *State) Outage() bool { return s.outage.Load() }
+
 // Returned notes that the platform answers again after an outage.
 func (s *State) Returned(now time.Time) {
+	s.outage.Store(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.returning = now.Add(returnTime)
