Plan nothing on engines that are known to have crashed

Change: a stream that breaks off counts as a failure of its engine, the planner counts the failures that its instance has seen, and an instance doesn't follow a plan to an engine that failed it lately. TestCrashedEngineIsNotPlannedFor.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -143,6 +143,8 @@
 	own    map[string]*server
 	// Others returns what other instances have put on a server.
 	others func(now time.Time, id string) gossip.Load
+	// heard, if set, returns failures that were seen elsewhere.
+	heard func(now time.Time, id string) float64
 }
 
 // New returns a balancer.
@@ -150,6 +152,9 @@
 	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others}
 }
 
+// HearFailures has failures that another balancer counts count here too.
+func (b *Balancer) HearFailures(heard func(now time.Time, id string) float64) { b.heard = heard }
+
 // Pick chooses among servers and counts the load on the one chosen.
 func (b *Balancer) Pick(now time.Time, r Request, servers []observed.Server) Choice {
 	b.mu.Lock()
@@ -420,19 +425,23 @@
 }
 
 func (b *Balancer) failures(now time.Time, id string) float64 {
+	heard := 0.0
+	if b.heard != nil {
+		heard = b.heard(now, id)
+	}
 	own, ok := b.own[id]
 	if !ok || own.failures == 0 {
-		return 0
+		return heard
 	}
-	return own.failures * math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
+	return heard + own.failures*math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
 }
 
 // Failed notes that a server failed a request that it should have answered.
 func (b *Balancer) Failed(now time.Time, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := b.failures(now, id)
 	own := b.server(now, id)
+	n := own.failures * math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
 	own.failures, own.failedAt = min(maxFailures, n+1), now
 }
 
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -38,6 +38,9 @@
 	// noneRetryAfter is said when no server is there: others take some seconds
 	// to come.
 	noneRetryAfter = time.Second
+	// distrust is at how many recent failures here an engine that another
+	// instance chose isn't used: it may be gone, and the other not know it yet.
+	distrust = 0.5
 	// leastDeadline is what a server is told at least.
 	leastDeadline = time.Millisecond
 	maxUrgency    = 9
@@ -174,7 +177,7 @@
 		Excluded: slices.Collect(maps.Keys(t.excluded)),
 	}
 	id, err := s.opts.Planner.Place(ctx, ask)
-	if err != nil || t.excluded[id] {
+	if err != nil || t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= distrust {
 		return balancer.Place{}, false
 	}
 	for _, server := range s.opts.State.Servers(r.service.Name) {
--- a/internal/ingress/move.go
+++ b/internal/ingress/move.go
@@ -69,9 +69,10 @@
 		return false
 	}
 	server, ok := m.s.opts.State.Server(turn.To)
-	if ok && !server.Leaving && !m.one.finished() {
+	now := m.s.opts.Now()
+	if ok && !server.Leaving && !m.one.finished() && m.s.opts.Balancer.Failures(now, turn.To) < distrust {
 		m.to, m.placed = balancer.Place{Server: server, Tokens: m.need()}, true
-		m.s.opts.Balancer.Reserve(m.s.opts.Now(), m.to)
+		m.s.opts.Balancer.Reserve(now, m.to)
 	}
 	return true
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -90,6 +90,8 @@
 			return ended{}
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
+		case !f.run.stopped():
+			s.opts.Balancer.Failed(s.opts.Now(), f.run.server().ID)
 		}
 		if resumes >= maxResumes {
 			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	plans := planner.New(planner.Options{
-		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.On,
+		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.On, Failures: placing.Failures,
 		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
 	})
 	if err := in.buildServer(ctx, placing, plans); err != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -115,8 +115,10 @@
 	// instance has put on a server.
 	Bounds balancer.Bounds
 	Own    func(id string) gossip.Load
-	Log    zerolog.Logger
-	Now    func() time.Time
+	// Failures returns how often a server failed this instance lately.
+	Failures func(now time.Time, id string) float64
+	Log      zerolog.Logger
+	Now      func() time.Time
 }
 
 // Planner asks the instance that plans, and answers where it is this one. It is
@@ -146,6 +148,7 @@
 		return gossip.Load{Running: others.Running + own.Running, Tokens: others.Tokens + own.Tokens}
 	}
 	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), known)
+	p.plan.HearFailures(opts.Failures)
 	return p
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -38,6 +38,11 @@
 }
 
 func startOne(t *testing.T, id, secret string, engines []dialect.Server) one {
+	t.Helper()
+	return startFailing(t, id, secret, engines, func(time.Time, string) float64 { return 0 })
+}
+
+func startFailing(t *testing.T, id, secret string, engines []dialect.Server, failures func(time.Time, string) float64) one {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -51,7 +56,7 @@
 	table := gossip.NewTable(gossip.Record{ID: id, Peer: address, Zone: "zone-0", Started: 1, Ready: true})
 	p := New(Options{
 		Self: id, Table: table, Key: key, State: state, Bounds: balancer.Bounds{ColdOverage: 1.5, ColdSlack: 5},
-		Own: func(string) gossip.Load { return gossip.Load{} }, Log: zerolog.Nop(), Now: time.Now,
+		Own: func(string) gossip.Load { return gossip.Load{} }, Failures: failures, Log: zerolog.Nop(), Now: time.Now,
 	})
 	mux := http.NewServeMux()
 	for path, handler := range p.Handlers() {
@@ -80,6 +85,22 @@
 	require.Len(t, per, 12)
 }
 
+// An engine has crashed, and the streams of the instance that plans broke off:
+// it plans nothing there while the platform still lists it.
+func TestCrashedEngineIsNotPlannedFor(t *testing.T) {
+	a := startFailing(t, "a", "k", engineList(3), func(_ time.Time, id string) float64 {
+		return map[string]float64{"e0": 2}[id]
+	})
+	for i := range 6 {
+		id, err := a.Place(t.Context(), Placing{Request: fmt.Sprint(i), Service: "llm", Zone: "zone-0", Prompt: 3000, Need: 4000})
+		require.NoError(t, err)
+		require.NotEqual(t, "e0", id)
+		turn, err := a.Ask(t.Context(), Leaving{Run: fmt.Sprint(i), Service: "llm", Engine: "e1", Zone: "zone-1", Tokens: 3000, Need: 4000})
+		require.NoError(t, err)
+		require.Equal(t, "e2", turn.To)
+	}
+}
+
 // Eight generations of an engine that leaves, from two instances: each gets a
 // turn of its own at the link, to engines of its zone, none to the one that
 // leaves.
