Split the planner, the balancer and placing by what they do

No change of behaviour: planner.go asks, handlers.go answers, plan.go decides; score.go and cold.go of the balancer; place.go of the ingress.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -24,8 +24,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/routes"
@@ -274,126 +272,6 @@
 	}
 }
 
-func (b *Balancer) score(now time.Time, r Request, s *observed.Server, load float64) float64 {
-	if r.Spread != 0 {
-		return spread(r, s, load+b.failures(now, s.ID)*failureCost)
-	}
-	score := b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
-	if r.Service.Engine != nil {
-		score += b.wait(now, s.ID) + load*memoryCost + max(0, load-scarce)*scarceCost
-	} else {
-		score += load
-	}
-	if s.Zone != r.Zone {
-		score += zoneCost
-	}
-	return score
-}
-
-// wait returns how many seconds an engine is expected to read the prompts that
-// it was sent before.
-//
-// Load: a dozen prompts a second of thousands of tokens each, and engines that
-// come and go. Harm: chosen by free memory, an engine that is new and empty gets
-// every prompt until its memory fills; callers wait there for seconds while all
-// others read nothing. A prompt's reading is known when it is sent, so that the
-// queue needs no reports: it is sent prompts and the time since.
-func (b *Balancer) wait(now time.Time, id string) float64 {
-	own, ok := b.own[id]
-	if !ok {
-		return 0
-	}
-	return max(0, own.readUntil.Sub(now).Seconds())
-}
-
-const (
-	// farRoom is what a server in another zone counts for where memory is to
-	// be copied to it: the copy takes twice as long.
-	farRoom = 0.1
-	// leastRoom lets a nearly full server be chosen when there is no other.
-	leastRoom = 0.01
-)
-
-// spread draws a server for a key, with the free room of each as its weight
-// (weighted rendezvous hashing).
-//
-// Load: all generations of a leaving engine look for room in the same moment,
-// from several instances that don't see each other's choice. Harm: all take the
-// engine that was the freest, wait for each other at its link until their own
-// engine is gone, and are together again on the next engine that leaves.
-func spread(r Request, s *observed.Server, load float64) float64 {
-	room := max(leastRoom, 1-load)
-	if s.Zone != r.Zone {
-		room *= farRoom
-	}
-	hash := xxhash.Sum64String(s.ID) ^ r.Spread
-	hash ^= hash >> 31
-	hash *= 0x9e3779b97f4a7c15
-	hash ^= hash >> 29
-	u := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / room
-}
-
-func limit(s *routes.Service) float64 {
-	if s.Engine != nil {
-		return fullMemory
-	}
-	return fullQueue
-}
-
-// load returns how full a server would be with the request, 1 for full.
-func (b *Balancer) load(now time.Time, r Request, s *observed.Server) float64 {
-	var running, tokens int
-	if own, ok := b.own[s.ID]; ok {
-		running, tokens = own.running, own.tokens
-	}
-	others := b.others(now, s.ID)
-	running += others.Running + 1
-	tokens += others.Tokens + r.Tokens
-	slots := float64(max(1, s.Slots))
-	e := r.Service.Engine
-	if e == nil {
-		return float64(running) / slots
-	}
-	memory := float64(tokens) / float64(max(1, e.MemoryTokens))
-	batch := float64(running) / slots
-	if batch > 1 {
-		return max(memory, batch)
-	}
-	return max(memory, batch*slotWeight)
-}
-
-// bearsCold reports whether a server that is cold may get one more request.
-//
-// Load: a zone's servers come back cold together while all instances have
-// requests waiting. Harm: a cold server crashes at a rate well above what it
-// declares, and is cold again. The declared rate holds for all instances
-// together, also those that can't see each other, so each keeps to its share
-// by the number of instances that were ever heard of lately.
-func (b *Balancer) bearsCold(now time.Time, r Request, s *observed.Server) bool {
-	if !now.Before(s.ColdUntil) || r.Service.ColdPerSecond <= 0 {
-		return true
-	}
-	share := (r.Service.ColdPerSecond*b.bounds.ColdOverage + b.bounds.ColdSlack) / float64(max(1, r.Instances))
-	window := time.Second
-	if share < 1 {
-		window = time.Duration(float64(time.Second) / share)
-	}
-	own, ok := b.own[s.ID]
-	if !ok || now.Sub(own.coldSince) >= window {
-		return true
-	}
-	// A window that slides over two counted ones holds at most twice a half.
-	return own.coldSent < max(1, int(share/2))
-}
-
-func (b *Balancer) countCold(now time.Time, own *server) {
-	if now.Sub(own.coldSince) >= time.Second {
-		own.coldSince, own.coldSent = now, 0
-	}
-	own.coldSent++
-}
-
 func (b *Balancer) server(now time.Time, id string) *server {
 	own, ok := b.own[id]
 	if !ok {
--- /dev/null
+++ b/internal/balancer/cold.go
@@ -0,0 +1,38 @@
+package balancer
+
+import (
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/observed"
+)
+
+// bearsCold reports whether a server that is cold may get one more request.
+//
+// Load: a zone's servers come back cold together while all instances have
+// requests waiting. Harm: a cold server crashes at a rate well above what it
+// declares, and is cold again. The declared rate holds for all instances
+// together, also those that can't see each other, so each keeps to its share
+// by the number of instances that were ever heard of lately.
+func (b *Balancer) bearsCold(now time.Time, r Request, s *observed.Server) bool {
+	if !now.Before(s.ColdUntil) || r.Service.ColdPerSecond <= 0 {
+		return true
+	}
+	share := (r.Service.ColdPerSecond*b.bounds.ColdOverage + b.bounds.ColdSlack) / float64(max(1, r.Instances))
+	window := time.Second
+	if share < 1 {
+		window = time.Duration(float64(time.Second) / share)
+	}
+	own, ok := b.own[s.ID]
+	if !ok || now.Sub(own.coldSince) >= window {
+		return true
+	}
+	// A window that slides over two counted ones holds at most twice a half.
+	return own.coldSent < max(1, int(share/2))
+}
+
+func (b *Balancer) countCold(now time.Time, own *server) {
+	if now.Sub(own.coldSince) >= time.Second {
+		own.coldSince, own.coldSent = now, 0
+	}
+	own.coldSent++
+}
--- /dev/null
+++ b/internal/ingress/place.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/answer"
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/planner"
+)
+
+const (
+	// distrust is at how many recent failures here an engine that another
+	// instance chose isn't used: it may be gone, and the other not know it yet.
+	distrust = 0.5
+)
+
+// place chooses a backend server.
+func (s *Server) place(ctx context.Context, now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
+	if place, ok := s.planned(ctx, r, t); ok {
+		return place, nil
+	}
+	choice := s.opts.Balancer.Pick(now, balancer.Request{
+		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Prompt: r.prompt, Excluded: t.excluded, Instances: s.opts.Instances(),
+	}, s.opts.State.Servers(r.service.Name))
+	switch choice := choice.(type) {
+	case balancer.Picked:
+		s.log.Info().Str("request", r.id).Str("server", choice.Place.Server.ID).Str("zone", choice.Place.Server.Zone).
+			Float64("load", choice.Score).Int("attempt", t.number+1).Int("tokens", choice.Place.Tokens).Msg("request placed")
+		return choice.Place, nil
+	case balancer.Full:
+		f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "all backend servers are full")
+		f.RetryAfter = fullRetryAfter + time.Duration(s.rng().Int64N(int64(fullSpread)))
+		return balancer.Place{}, f
+	}
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendLost, "no backend server is there")
+	f.RetryAfter = noneRetryAfter
+	return balancer.Place{}, f
+}
+
+// planned has the instance that plans for the engines choose one. What it chose
+// counts only while this instance knows no reason against it.
+func (s *Server) planned(ctx context.Context, r *request, t *attempts) (balancer.Place, bool) {
+	if s.opts.Planner == nil || !r.generation() {
+		return balancer.Place{}, false
+	}
+	ask := planner.Placing{
+		Request: r.id, Service: r.service.Name, Zone: s.opts.Zone, Prompt: r.prompt, Need: r.prompt + r.output,
+		Excluded: slices.Collect(maps.Keys(t.excluded)),
+	}
+	id, err := s.opts.Planner.Place(ctx, ask)
+	if err != nil || t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= distrust {
+		return balancer.Place{}, false
+	}
+	for _, server := range s.opts.State.Servers(r.service.Name) {
+		if server.ID == id {
+			place := balancer.Place{Server: server, Tokens: ask.Need, Prompt: r.prompt}
+			s.opts.Balancer.Reserve(s.opts.Now(), place)
+			s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.number+1).
+				Int("tokens", place.Tokens).Msg("request placed by plan")
+			return place, true
+		}
+	}
+	return balancer.Place{}, false
+}
