Count what a planner gave out until all have heard of it

Ruled out: too much load (58 in 100 of the memory). Change: it is counted for as long as news takes, by the number of instances; 1.2 s for seven, as before.

--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -37,6 +37,16 @@
 	forgetAfter = 60 * time.Second
 )
 
+// NewsTime returns how long news of one of n instances takes to reach all, as a
+// rule. Each round triples those that have it, and it waits for the first.
+func NewsTime(n int) time.Duration {
+	rounds := 1
+	for reached := 1; reached < n; reached *= 3 {
+		rounds++
+	}
+	return time.Duration(rounds) * period
+}
+
 // Load is what one instance has put on one backend server.
 type Load struct {
 	Running int `json:"running"`
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/migration"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/observed"
@@ -76,11 +77,15 @@
 	if own {
 		p.plan.Done(picked.Place)
 	} else {
-		time.AfterFunc(handOver, func() { p.plan.Done(picked.Place) })
+		time.AfterFunc(p.handOver(), func() { p.plan.Done(picked.Place) })
 	}
 	return Placed{Engine: picked.Place.Server.ID}, nil
 }
 
+// handOver is how long the load of what was given out is counted here: until
+// the instance that got it has told of it.
+func (p *Planner) handOver() time.Duration { return gossip.NewsTime(p.opts.Table.Count()) }
+
 // turn plans a copy: where to, and when.
 func (p *Planner) turn(ctx context.Context, l Leaving) (Turn, error) {
 	service, err := p.engines(l.Service)
@@ -140,5 +145,5 @@
 func (r *room) Take(c Copy, t Target) {
 	place := balancer.Place{Server: r.found[t.ID], Tokens: r.need(c)}
 	r.p.plan.Reserve(r.now, place)
-	time.AfterFunc(handOver, func() { r.p.plan.Done(place) })
+	time.AfterFunc(r.p.handOver(), func() { r.p.plan.Done(place) })
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,9 +46,6 @@
 	placeTimeout = 60 * time.Millisecond
 	// restAfter is how long a planner that didn't answer isn't asked again.
 	restAfter = time.Second
-	// handOver is how long the load of what was given out is counted here. By
-	// then the instance that got it has told of it.
-	handOver = 1200 * time.Millisecond
 )
 
 // ErrUnavailable means that no plan was to be had; the asker goes on by itself.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -179,6 +179,18 @@
 	}
 }
 
+// What a planner has given out is forgotten once others tell of it: not before,
+// or it gives the same room out twice.
+func TestNewsTime(t *testing.T) {
+	tests := map[string]struct {
+		instances int
+		want      time.Duration
+	}{"alone": {1, 400 * time.Millisecond}, "seven": {7, 1200 * time.Millisecond}, "81": {81, 2 * time.Second}, "350": {350, 2800 * time.Millisecond}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, gossip.NewsTime(tt.instances)) })
+	}
+}
+
 // Every engine is in one group, and groups are small enough to be planned for.
 func TestGroupsHoldAllEngines(t *testing.T) {
 	for _, n := range []int{1, 12, 48, 2000} {
@@ -213,7 +225,7 @@
 func play(instances int, planned bool) played {
 	const (
 		seconds, perSecond, onTime = 60, 11, 1500 * time.Millisecond
-		lag                        = handOver
+		lag                        = 1200 * time.Millisecond
 		stays                      = 8 * time.Second
 		readTime                   = 143 * time.Microsecond
 	)
