Leave a stream alone whose engine refused to stop it

Cause: a stop that the engine refuses (503 without a handle: the target is gone; 409; 404: the run has ended there) left the run marked as stopped. Ruled out: the engine stopping without a handle (the stream went on for 14 s). Change: an answer that isn't a stop takes the mark back, and whoever waits at the stream's end for the move is told. Lost answers stay unsure. Test: TestRefusedStopLeavesTheStreamAlone, four cases, all failed before.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -542,6 +542,82 @@
 	}
 }
 
+// stubborn is an engine that refuses to stop its run and goes on with it to its
+// end.
+type stubborn struct {
+	status int
+	// first has the run end before the order to stop is answered.
+	first bool
+
+	asked chan struct{}
+	once  sync.Once
+	ended chan struct{}
+}
+
+func (s *stubborn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/move" {
+		var move dialect.Move
+		_ = json.NewDecoder(r.Body).Decode(&move)
+		if !move.Last {
+			_, _ = io.WriteString(w, `{"Handle":"h1","Events":3}`)
+			return
+		}
+		s.once.Do(func() { close(s.asked) })
+		if s.first {
+			<-s.ended
+		}
+		w.WriteHeader(s.status)
+		return
+	}
+	if r.Header.Get("T-From") != "" {
+		refuses(w, r)
+		return
+	}
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	w.Header().Set("T-Seal", "sealed by "+r.Header.Get("T-Expect"))
+	events(1, 3, true)(w, r)
+	select {
+	case <-s.asked:
+	case <-r.Context().Done():
+	}
+	events(4, 7, true)(w, r)
+	close(s.ended)
+}
+
+// An engine that leaves is told to stop a run, and refuses: the engine that the
+// run was copied to is gone. It goes on with the run to its end. The caller gets
+// the whole stream, whether it ends after the refusal or before.
+func TestRefusedStopLeavesTheStreamAlone(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		first  bool
+	}{
+		"target gone":                      {http.StatusServiceUnavailable, false},
+		"earlier order":                    {http.StatusConflict, false},
+		"the run ends before it answers":   {http.StatusServiceUnavailable, true},
+		"the run has ended when it's told": {http.StatusNotFound, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := func() *stubborn {
+				return &stubborn{status: tt.status, first: tt.first, asked: make(chan struct{}), ended: make(chan struct{})}
+			}
+			f := start(t, map[string]http.Handler{"llm-1": engine(), "llm-2": engine()})
+			resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+			three := make([]byte, len(wantEvents(3)))
+			_, err := io.ReadFull(resp.Body, three)
+			require.NoError(t, err)
+			for i := range f.list {
+				f.list[i].Leaving = strings.HasSuffix(resp.Header.Get("T-Seal"), f.list[i].ID)
+			}
+			f.state.ReplaceServers(f.clock.now(), 2, f.list)
+			rest, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, wantEvents(7), string(three)+string(rest))
+		})
+	}
+}
+
 // Something between the instance and an engine has lost track of a stream's
 // connection: the engine goes on, new connections to it work, and no event
 // comes. The stream goes on from its memory elsewhere, each event once.
--- a/internal/ingress/move.go
+++ b/internal/ingress/move.go
@@ -152,6 +152,17 @@
 	}
 	start := m.s.opts.Now()
 	status, moved, err := m.s.order(ctx, m.one.request.id, m.source.Address, m.to.Server.Address, true)
+	m.s.log.Info().Str("request", m.one.request.id).Str("from", m.source.ID).Str("to", m.to.Server.ID).Int("status", status).
+		Int("events", moved.Events).Dur("took", m.s.opts.Now().Sub(start)).Err(err).Msg("generation stopped to be moved")
+	if err != nil && status != 0 && moved.Handle == "" {
+		// The engine has answered: it hasn't stopped the run, which goes on there
+		// or has ended by itself. Only a run that isn't there may need its copy.
+		m.one.goOn()
+		if status != http.StatusNotFound {
+			m.drop(ctx)
+		}
+		return
+	}
 	h, copied := m.one.takeCopy()
 	switch {
 	case err != nil && moved.Handle != "":
@@ -168,8 +179,6 @@
 	case err == nil:
 		h.handle = moved.Handle
 	}
-	m.s.log.Info().Str("request", m.one.request.id).Str("from", m.source.ID).Str("to", h.to.Server.ID).Int("status", status).
-		Int("events", moved.Events).Dur("took", m.s.opts.Now().Sub(start)).Err(err).Msg("generation stopped to be moved")
 	m.one.handed <- h
 	if m.one.finished() {
 		m.one.unclaimed(m.s.opts.Balancer.Done)
--- a/internal/ingress/runs.go
+++ b/internal/ingress/runs.go
@@ -49,7 +49,9 @@
 	handle string
 	// unsure says that the source wasn't heard to have stopped the run.
 	unsure bool
-	err    error
+	// refused says that the source goes on with the run: it wasn't stopped.
+	refused bool
+	err     error
 }
 
 // run is one stream and the server it runs on. The handler reads it and writes
@@ -67,7 +69,9 @@
 	events   int64
 	carrying bool
 	stopping bool
-	done     bool
+	// awaited is set while the end of the move that stops the run is waited for.
+	awaited bool
+	done    bool
 	// copy is where the run's memory was copied to, if it was.
 	copy *handover
 	// begun is set by the first event, expired by the end of the time for it:
@@ -126,6 +130,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stopping = false
+	if r.awaited {
+		r.awaited = false
+		r.handed <- handover{refused: true}
+	}
 }
 
 func (r *run) leaveStream() {
@@ -262,6 +270,13 @@
 
 // await waits for the end of the move that stopped the run.
 func (r *run) await(ctx context.Context, limit time.Duration) (handover, error) {
+	r.mu.Lock()
+	if !r.stopping {
+		r.mu.Unlock()
+		return handover{refused: true}, nil
+	}
+	r.awaited = true
+	r.mu.Unlock()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -278,5 +293,5 @@
 func (r *run) moveTo(place balancer.Place) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.place, r.stopping = place, false
+	r.place, r.stopping, r.awaited = place, false, false
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -86,7 +86,7 @@
 		} else if lost, ok := res.(failed); ok {
 			return f.cut(lost)
 		}
-		err = f.relay(a)
+		err = f.relay(ctx, a)
 		a.Close()
 		switch {
 		case err == nil:
@@ -145,18 +145,19 @@
 var (
 	errTooLate      = merry.Sentinel("the first event came too late")
 	errCallerGone   = merry.Sentinel("the caller has left")
+	errNotStopped   = merry.Sentinel("the engine refused to stop the generation, which ended")
 	errStillRuns    = merry.Sentinel("the engine that the generation was copied from hasn't stopped it")
 	errNotResumable = merry.Sentinel("the route doesn't allow it to go on elsewhere, or the retry budget is spent")
 )
 
 // relay passes events on until the stream ends. Nil means that it is whole.
-func (f *flow) relay(a *upstream.Answer) error {
+func (f *flow) relay(ctx context.Context, a *upstream.Answer) error {
 	f.run.reads(f.s.opts.Now(), a.Abort)
 	events := eventstream.NewSplitter(a.Stream())
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if f.run.stopped() {
+			if f.run.stopped() && !f.wholeAfterAll(ctx) {
 				return eventstream.ErrCut
 			}
 			if !f.run.begins() {
@@ -189,6 +190,16 @@
 	}
 }
 
+// wholeAfterAll reports whether a stream has ended by itself although its engine
+// was told to stop it: the engine refused.
+func (f *flow) wholeAfterAll(ctx context.Context) bool {
+	h, err := f.run.await(ctx, handoverWait)
+	if err == nil && !h.refused {
+		f.run.handed <- h
+	}
+	return err == nil && h.refused
+}
+
 // begin writes the head of the answer, that of the first server.
 func (f *flow) begin(a *upstream.Answer) {
 	f.s.head(f.c, a)
@@ -225,6 +236,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if moved.refused {
+		return nil, errNotStopped
+	}
 	if moved.unsure {
 		return f.resumeCopied(ctx, moved)
 	}
