End a silent stream whose engine doesn't run it any more

Change: the read ends once the stream has stood still for 2.5 s; before, last events may be on their way on a link that loses packets.

--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -22,6 +22,9 @@
 	// in some 30 ms and are back from a preemption in half a second; callers
 	// leave after some seconds.
 	streamSilent = 900 * time.Millisecond
+	// streamLost is how long a stream may stand still whose engine doesn't run it
+	// any more: its last events may be on their way on a link that loses packets.
+	streamLost = 2500 * time.Millisecond
 	// platformSilent is how long the platform may say nothing, beyond the usual
 	// time between two answers, before engines are asked themselves.
 	platformSilent = 200 * time.Millisecond
@@ -85,7 +88,8 @@
 // the connection. The engine goes on, new connections to it work, and the
 // caller waits for an event that never comes. The engine stops the run when it
 // is asked to move it, so that it can't go on twice; one that doesn't know the
-// run, or can't be reached, leaves everything as it is.
+// run any more leaves nothing to wait for, and one that can't be reached leaves
+// everything as it is.
 func (s *Server) rescue(ctx context.Context, one *run) {
 	source := one.server()
 	m := &mover{s: s, one: one, source: source, excluded: map[string]bool{source.ID: true}}
@@ -98,6 +102,9 @@
 	if err != nil {
 		m.unplace()
 		one.goOn()
+		if status == http.StatusNotFound && one.silentFor(s.opts.Now()) >= streamLost {
+			one.leaveStream()
+		}
 		return
 	}
 	one.handed <- handover{to: m.to, source: source.Address, handle: moved.Handle}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -618,6 +618,30 @@
 	}
 }
 
+// A stream's connection has gone silent, and its engine says that it doesn't run
+// the request any more. No event can come: the caller is told so by the end of
+// its connection, in place of waiting until it gives up itself.
+func TestSilentStreamThatIsLostEnds(t *testing.T) {
+	forgetful := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/move" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set("T-Id", r.Header.Get("T-Id"))
+		w.Header().Set("T-Seal", "sealed")
+		events(1, 3, true)(w, r)
+		<-r.Context().Done()
+	})
+	f := start(t, map[string]http.Handler{"llm-1": forgetful, "llm-2": forgetful})
+	resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+	three := make([]byte, len(wantEvents(3)))
+	_, err := io.ReadFull(resp.Body, three)
+	require.NoError(t, err)
+	f.clock.forward(streamLost)
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // Something between the instance and an engine has lost track of a stream's
 // connection: the engine goes on, new connections to it work, and no event
 // comes. The stream goes on from its memory elsewhere, each event once.
