Ask the next group of engines where one is full

Change: where a group is full the next ones are asked, three at most; full is told apart from what can't be had at all.

--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -53,6 +53,11 @@
 	Tokens  int `json:"tokens"`
 }
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(m Load) Load {
+	return Load{Running: l.Running + m.Running, Tokens: l.Tokens + m.Tokens}
+}
+
 // Record is what is known of one instance.
 type Record struct {
 	ID     string `json:"id"`
@@ -256,8 +261,7 @@
 				continue
 			}
 			for id, l := range e.Load {
-				sum := t.load[id]
-				t.load[id] = Load{Running: sum.Running + l.Running, Tokens: sum.Tokens + l.Tokens}
+				t.load[id] = t.load[id].Plus(l)
 			}
 		}
 		t.loadAt = now
--- a/internal/planner/handlers.go
+++ b/internal/planner/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -23,6 +24,9 @@
 			return nil, err
 		}
 		placed, err := p.begin(*req.Msg, false)
+		if errors.Is(err, ErrUnavailable) {
+			return nil, connect.NewError(connect.CodeUnavailable, ErrUnavailable)
+		}
 		if err != nil {
 			return nil, connect.NewError(connect.CodeResourceExhausted, ErrUnavailable)
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -27,6 +27,9 @@
 // groupsOf returns into how many groups engines are divided.
 func groupsOf(engines int) int { return max(1, (engines+groupSize-1)/groupSize) }
 
+// groupOf returns the group that an engine, or the name of a request, belongs to.
+func groupOf(name string, groups int) int { return int(xxhash.Sum64String(name) % uint64(groups)) }
+
 // inGroup returns the engines of one group.
 func inGroup(engines []observed.Server, group int) []observed.Server {
 	groups := groupsOf(len(engines))
@@ -35,7 +38,7 @@
 	}
 	var out []observed.Server
 	for i := range engines {
-		if int(xxhash.Sum64String(engines[i].ID)%uint64(groups)) == group {
+		if groupOf(engines[i].ID, groups) == group {
 			out = append(out, engines[i])
 		}
 	}
@@ -67,10 +70,14 @@
 		excluded[id] = true
 	}
 	engines := inGroup(p.opts.State.Servers(r.Service), r.Group)
-	picked, ok := p.plan.Pick(p.opts.Now(), balancer.Request{
+	choice := p.plan.Pick(p.opts.Now(), balancer.Request{
 		Service: service, Zone: r.Zone, Tokens: r.Need, Prompt: r.Prompt, Excluded: excluded,
 		Instances: p.opts.Table.Count(), Whole: true,
-	}, engines).(balancer.Picked)
+	}, engines)
+	picked, ok := choice.(balancer.Picked)
+	if _, full := choice.(balancer.Full); full && r.Need <= service.Engine.MemoryTokens {
+		return Placed{}, ErrFull
+	}
 	if !ok {
 		return Placed{}, ErrUnavailable
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -26,7 +27,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
@@ -46,11 +46,16 @@
 	placeTimeout = 60 * time.Millisecond
 	// restAfter is how long a planner that didn't answer isn't asked again.
 	restAfter = time.Second
+	// maxGroups is how many groups are asked for room.
+	maxGroups = 3
 )
 
 // ErrUnavailable means that no plan was to be had; the asker goes on by itself.
 var ErrUnavailable = merry.Sentinel("no plan to be had")
 
+// ErrFull means that no engine has room now.
+var ErrFull = merry.Sentinel("no engine has room")
+
 // Leaving is a generation whose engine leaves.
 type Leaving struct {
 	Run     string `json:"run"`
@@ -126,8 +131,7 @@
 func New(opts Options) *Planner {
 	p := &Planner{opts: opts, schedule: NewSchedule(), client: gossip.NewClient(turnTimeout), resting: map[string]time.Time{}}
 	known := func(now time.Time, id string) gossip.Load {
-		others, own := opts.Table.Load(now, id), opts.Own(id)
-		return gossip.Load{Running: others.Running + own.Running, Tokens: others.Tokens + own.Tokens}
+		return opts.Table.Load(now, id).Plus(opts.Own(id))
 	}
 	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), known)
 	p.plan.HearFailures(opts.Failures)
@@ -156,10 +160,27 @@
 	return *res.Msg, nil
 }
 
-// Place gets the engine that a generation begins on.
+// Place gets the engine that a generation begins on. Where the engines of one
+// group are full, those of the next are asked for.
+//
+// Load: more generations than some groups have room for, while others have.
+// Harm: those that found their group full were placed by what their instance had
+// heard of a few engines drawn at random, seconds ago; they waited in queues for
+// seconds beside engines with room.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
 	groups := groupsOf(len(p.opts.State.Servers(r.Service)))
-	r.Group = int(xxhash.Sum64String(r.Request) % uint64(groups))
+	first := groupOf(r.Request, groups)
+	for i := range min(groups, maxGroups) {
+		r.Group = (first + i) % groups
+		if engine, err := p.placeIn(ctx, r); !errors.Is(err, ErrFull) {
+			return engine, err
+		}
+	}
+	return "", merry.Wrap(ErrFull)
+}
+
+// placeIn asks for an engine of one group.
+func (p *Planner) placeIn(ctx context.Context, r Placing) (string, error) {
 	address, ok := p.planner(r.Service + "#" + strconv.Itoa(r.Group))
 	if !ok {
 		return "", ErrUnavailable
@@ -196,12 +217,13 @@
 // knows. Each generation would wait for it first. It is left alone for a while,
 // and asked on a new connection afterwards, as the kept one may be what is lost.
 func (p *Planner) failed(address string, err error) error {
-	if connect.CodeOf(err) != connect.CodeResourceExhausted {
-		p.mu.Lock()
-		p.resting[address] = p.opts.Now().Add(restAfter)
-		p.mu.Unlock()
-		p.client.CloseIdleConnections()
-		p.opts.Log.Info().Str("peer", address).Err(err).Msg("planner doesn't answer")
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return merry.Wrap(ErrFull, merry.WithCause(err))
 	}
+	p.mu.Lock()
+	p.resting[address] = p.opts.Now().Add(restAfter)
+	p.mu.Unlock()
+	p.client.CloseIdleConnections()
+	p.opts.Log.Info().Str("peer", address).Err(err).Msg("planner doesn't answer")
 	return merry.Wrap(ErrUnavailable, merry.WithCause(err))
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -43,6 +43,11 @@
 }
 
 func startFailing(t *testing.T, id, secret string, engines []dialect.Server, failures func(time.Time, string) float64) one {
+	t.Helper()
+	return startWith(t, id, secret, engines, func(o *Options) { o.Failures = failures })
+}
+
+func startWith(t *testing.T, id, secret string, engines []dialect.Server, change func(*Options)) one {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -54,10 +59,13 @@
 	}}}, nil)
 	state.ReplaceServers(time.Now(), 1, engines)
 	table := gossip.NewTable(gossip.Record{ID: id, Peer: address, Zone: "zone-0", Started: 1, Ready: true})
-	p := New(Options{
+	opts := Options{
 		Self: id, Table: table, Key: key, State: state, Bounds: balancer.Bounds{ColdOverage: 1.5, ColdSlack: 5},
-		Own: func(string) gossip.Load { return gossip.Load{} }, Failures: failures, Log: zerolog.Nop(), Now: time.Now,
-	})
+		Own: func(string) gossip.Load { return gossip.Load{} }, Failures: func(time.Time, string) float64 { return 0 },
+		Log: zerolog.Nop(), Now: time.Now,
+	}
+	change(&opts)
+	p := New(opts)
 	mux := http.NewServeMux()
 	for path, handler := range p.Handlers() {
 		mux.Handle(path, handler)
