Count what a planner gave out until its instance has told of it

Cause: a planner counted what it gave out for as long as news takes at the longest, 2.4 s at 78 instances, while most is told after one. In between it counted twice: engines looked full that had room. Ruled out: a shorter time (news that is late would let the room be given twice). Change: an instance that asks names itself; what it got is dropped with its second count since, or when news would have come.

--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -227,6 +227,19 @@
 	return rank
 }
 
+// BeatOf identifies a state of an instance: its process and its count.
+type BeatOf struct{ Started, Beat int64 }
+
+// BeatOf returns the newest state of another instance that is known here.
+func (t *Table) BeatOf(id string) BeatOf {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.rest[id]; ok {
+		return BeatOf{e.Started, e.Record.Beat}
+	}
+	return BeatOf{}
+}
+
 // Peers returns the addresses of up to n others, at random: mostly of those
 // that live, and one of those that don't now and then, as it may be back.
 func (t *Table) Peers(now time.Time, rng *rand.Rand, n int) []string {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,7 @@
 	if err != nil {
 		return Placed{}, err
 	}
+	p.forgetTold(p.opts.Now())
 	excluded := map[string]bool{}
 	for _, id := range r.Excluded {
 		excluded[id] = true
@@ -84,11 +86,49 @@
 	if own {
 		p.plan.Done(picked.Place)
 	} else {
-		time.AfterFunc(p.handOver(), func() { p.plan.Done(picked.Place) })
+		p.give(r.By, picked.Place)
 	}
 	return Placed{Engine: picked.Place.Server.ID}, nil
 }
 
+// given is the load of a generation that was placed for another instance.
+type given struct {
+	place balancer.Place
+	by    string
+	beat  gossip.BeatOf
+	until time.Time
+}
+
+// give counts what was given out until the instance that got it tells of it.
+func (p *Planner) give(by string, place balancer.Place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.given = append(p.given, given{place: place, by: by, beat: p.opts.Table.BeatOf(by), until: p.opts.Now().Add(p.handOver())})
+}
+
+// toldBeats is how many counts later an instance surely tells of what it was
+// given: the one known may be older than its next, which may precede the answer.
+const toldBeats = 2
+
+// forgetTold drops what its instances have told of since, or should have.
+//
+// Load: dozens of generations a second. Harm: counted here for as long as news
+// takes at the longest, each counts twice once it is told of; engines look full
+// that have room, and callers are sent where nobody plans.
+func (p *Planner) forgetTold(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.given = slices.DeleteFunc(p.given, func(g given) bool {
+		beat := p.opts.Table.BeatOf(g.by)
+		told := beat.Started == g.beat.Started && beat.Beat >= g.beat.Beat+toldBeats && g.beat.Started != 0
+		if told || !now.Before(g.until) {
+			p.plan.Done(g.place)
+			return true
+		}
+		return false
+	})
+}
+
 // handOver is how long the load of what was given out is counted here: until
 // the instance that got it has told of it.
 func (p *Planner) handOver() time.Duration { return gossip.NewsTime(p.opts.Table.Count()) }
@@ -105,6 +145,7 @@
 		return Turn{}, ErrUnavailable
 	}
 	now = p.opts.Now()
+	p.forgetTold(now)
 	booked, ok := p.schedule.Turn(now, l.Engine, l.Run, &room{p: p, now: now, service: service, leaving: l})
 	if !ok {
 		return Turn{}, ErrUnavailable
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -81,6 +81,8 @@
 type Placing struct {
 	Request string `json:"request"`
 	Service string `json:"service"`
+	// By is the instance that asks.
+	By string `json:"by"`
 	// Group is the group of engines that is planned for.
 	Group int    `json:"group"`
 	Zone  string `json:"zone"`
@@ -123,6 +125,8 @@
 	client *http.Client
 
 	mu sync.Mutex
+	// given is what was given out, until its instance has told of it.
+	given []given
 	// resting are planners that didn't answer, and until when they aren't asked.
 	resting map[string]time.Time
 }
@@ -168,6 +172,7 @@
 // heard of a few engines drawn at random, seconds ago; they waited in queues for
 // seconds beside engines with room.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
+	r.By = p.opts.Self
 	groups := groupsOf(len(p.opts.State.Servers(r.Service)))
 	first := groupOf(r.Request, groups)
 	for i := range min(groups, maxGroups) {
