--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -235,7 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.rest[id]; ok {
-		return BeatOf{e.Started, e.Record.Beat}
+		return BeatOf{e.Started, e.Beat}
 	}
 	return BeatOf{}
 }
