Remember an engine that another can't reach

Ruled out: late notice (it was known 1.2 s before), full links (refusals, no queue). Change: a copy that is refused after 200 ms and more counts as a failure of its target; a full engine refuses in some milliseconds. Test: TestUnreachableTargetIsRemembered (failed before). The planner doesn't hear of it.

--- a/internal/ingress/move.go
+++ b/internal/ingress/move.go
@@ -86,6 +86,14 @@
 	return time.Duration(left) * tokenTime
 }
 
+// unreachable is how long an engine takes at least to find that another one
+// can't be reached; one that is there and has no room refuses in milliseconds.
+//
+// The failure: while the platform is away, engines that are gone stay listed.
+// Each generation of one that leaves would find out for itself, a third of a
+// second a time, and be cut before it has found one that is there.
+const unreachable = 200 * time.Millisecond
+
 // mover is the move of one run.
 type mover struct {
 	s        *Server
@@ -110,6 +118,9 @@
 		Int("status", status).Dur("took", took).Err(err).Msg("generation copied")
 	if err != nil {
 		m.excluded[m.to.Server.ID] = true
+		if status == http.StatusServiceUnavailable && took >= unreachable {
+			m.s.opts.Balancer.Failed(m.s.opts.Now(), m.to.Server.ID)
+		}
 		m.unplace()
 		return took, err
 	}
--- a/internal/ingress/streams_test.go
+++ b/internal/ingress/streams_test.go
@@ -326,3 +326,49 @@
 	require.NoError(t, err)
 	require.Equal(t, wantEvents(7), string(three)+string(rest))
 }
+
+// The platform is away, and still lists an engine that is gone. A leaving engine
+// can't reach it, and says so after a third of a second, each time: copied there
+// first, its generations would be cut one after the other. One that refuses at
+// once is there, and full.
+func TestUnreachableTargetIsRemembered(t *testing.T) {
+	tests := map[string]struct {
+		takes time.Duration
+		want  bool
+	}{"gone": {300 * time.Millisecond, true}, "full": {5 * time.Millisecond, false}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			refused := make(chan struct{})
+			var once sync.Once
+			engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/move" {
+					f.clock.forward(tt.takes)
+					w.WriteHeader(http.StatusServiceUnavailable)
+					once.Do(func() { close(refused) })
+					return
+				}
+				w.Header().Set("T-Id", r.Header.Get("T-Id"))
+				w.Header().Set("T-Seal", "sealed by "+r.Header.Get("T-Expect"))
+				events(1, 3, true)(w, r)
+				<-refused
+				events(4, 7, true)(w, r)
+			})
+			f = start(t, map[string]http.Handler{"llm-1": engine, "llm-2": engine})
+			resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+			target := ""
+			for i := range f.list {
+				f.list[i].Leaving = strings.HasSuffix(resp.Header.Get("T-Seal"), f.list[i].ID)
+				if !f.list[i].Leaving {
+					target = f.list[i].ID
+				}
+			}
+			f.state.ReplaceServers(f.clock.now(), 2, f.list)
+			_, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool {
+				return tt.want == (f.opts.Balancer.Failures(f.clock.now(), target) >= distrust)
+			}, testTimeout, time.Millisecond)
+		})
+	}
+}
