Take only a refusal for a refused stop

Change: only a status of failure is a refusal; who no longer waits for the end of a move isn't told of it.

--- a/internal/ingress/move.go
+++ b/internal/ingress/move.go
@@ -165,7 +165,7 @@
 	status, moved, err := m.s.order(ctx, m.one.request.id, m.source.Address, m.to.Server.Address, true)
 	m.s.log.Info().Str("request", m.one.request.id).Str("from", m.source.ID).Str("to", m.to.Server.ID).Int("status", status).
 		Int("events", moved.Events).Dur("took", m.s.opts.Now().Sub(start)).Err(err).Msg("generation stopped to be moved")
-	if err != nil && status != 0 && moved.Handle == "" {
+	if status >= http.StatusMultipleChoices && moved.Handle == "" {
 		// The engine has answered: it hasn't stopped the run, which goes on there
 		// or has ended by itself. Only a run that isn't there may need its copy.
 		m.one.goOn()
--- a/internal/ingress/runs.go
+++ b/internal/ingress/runs.go
@@ -283,12 +283,21 @@
 	case h := <-r.handed:
 		return h, h.err
 	case <-timer.C:
+		r.giveUp()
 		return handover{}, errMoveLost
 	case <-ctx.Done():
+		r.giveUp()
 		return handover{}, ctx.Err()
 	}
 }
 
+// giveUp notes that nobody waits for the end of the move any more.
+func (r *run) giveUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaited = false
+}
+
 // moveTo notes where the run goes on; it may be carried again from there.
 func (r *run) moveTo(place balancer.Place) {
 	r.mu.Lock()
--- a/internal/ingress/streams_test.go
+++ b/internal/ingress/streams_test.go
@@ -71,6 +71,8 @@
 	// afterwards it says so often that it is at work on an earlier order.
 	vanishes bool
 	busy     int
+	// garbles has it stop its run and answer with bytes that are no answer.
+	garbles bool
 
 	stop  chan struct{}
 	mu    sync.Mutex
@@ -97,13 +99,17 @@
 			return
 		}
 		if move.Last {
-			m.gone = m.vanishes
+			m.gone = m.vanishes || m.garbles
 			close(m.stop)
 			m.stop = make(chan struct{})
 		}
 		if move.Last && m.vanishes {
 			panic(http.ErrAbortHandler)
 		}
+		if move.Last && m.garbles {
+			_, _ = io.WriteString(w, `{"Handle":`)
+			return
+		}
 		_, _ = io.WriteString(w, `{"Handle":"h1","Events":3}`)
 		return
 	case "/report":
@@ -174,12 +180,20 @@
 // while the engine doesn't say so, it mustn't.
 func TestStreamGoesOnFromItsCopy(t *testing.T) {
 	tests := map[string]struct {
-		busy  int
-		whole bool
-	}{"gone": {0, true}, "at work on an earlier order": {2, true}, "at work on it for long": {100, false}}
+		busy    int
+		garbles bool
+		whole   bool
+	}{
+		"gone":                        {0, false, true},
+		"at work on an earlier order": {2, false, true},
+		"at work on it for long":      {100, false, false},
+		"its answer makes no sense":   {0, true, true},
+	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			engine := func() *mobile { return &mobile{stop: make(chan struct{}), vanishes: true, busy: tt.busy} }
+			engine := func() *mobile {
+				return &mobile{stop: make(chan struct{}), vanishes: !tt.garbles, garbles: tt.garbles, busy: tt.busy}
+			}
 			a, b := engine(), engine()
 			f := start(t, map[string]http.Handler{"llm-1": a, "llm-2": b})
 			resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
