--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -24,7 +24,6 @@
 	"sync"
 	"time"
 
-	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
@@ -65,6 +64,17 @@
 	scarceCost = 4.0
 )
 
+// Load is what was put on one backend server.
+type Load struct {
+	Running int `json:"running"`
+	Tokens  int `json:"tokens"`
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(m Load) Load {
+	return Load{Running: l.Running + m.Running, Tokens: l.Tokens + m.Tokens}
+}
+
 // Bounds are the deployment's limits on cold servers.
 type Bounds struct {
 	// ColdOverage multiplies what a cold server declares to bear, ColdSlack is
@@ -139,14 +149,15 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	own    map[string]*server
-	// Others returns what other instances have put on a server.
-	others func(now time.Time, id string) gossip.Load
+	// others, if set, returns what other instances have put on a server.
+	others func(now time.Time, id string) Load
 	// heard, if set, returns failures that were seen elsewhere.
 	heard func(now time.Time, id string) float64
 }
 
-// New returns a balancer.
-func New(bounds Bounds, rng *rand.Rand, others func(now time.Time, id string) gossip.Load) *Balancer {
+// New returns a balancer. Others returns what other instances have put on a server;
+// nil means that this is not known.
+func New(bounds Bounds, rng *rand.Rand, others func(now time.Time, id string) Load) *Balancer {
 	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others}
 }
 
@@ -341,24 +352,24 @@
 }
 
 // On returns what this instance has put on one server.
-func (b *Balancer) On(id string) gossip.Load {
+func (b *Balancer) On(id string) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own, ok := b.own[id]
 	if !ok {
-		return gossip.Load{}
+		return Load{}
 	}
-	return gossip.Load{Running: own.running, Tokens: own.tokens}
+	return Load{Running: own.running, Tokens: own.tokens}
 }
 
 // Load returns what this instance has put on the servers.
-func (b *Balancer) Load() map[string]gossip.Load {
+func (b *Balancer) Load() map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := map[string]gossip.Load{}
+	out := map[string]Load{}
 	for id, s := range b.own {
 		if s.running > 0 {
-			out[id] = gossip.Load{Running: s.running, Tokens: s.tokens}
+			out[id] = Load{Running: s.running, Tokens: s.tokens}
 		}
 	}
 	return out
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
-	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
@@ -20,9 +19,9 @@
 	engines = &routes.Service{Name: "llm", ColdPerSecond: 38, Engine: &routes.Engine{Slots: 24, MemoryTokens: 34000}}
 )
 
-func alone(time.Time, string) gossip.Load { return gossip.Load{} }
+func alone(time.Time, string) Load { return Load{} }
 
-func newBalancer(others func(time.Time, string) gossip.Load) *Balancer {
+func newBalancer(others func(time.Time, string) Load) *Balancer {
 	return New(Bounds{ColdOverage: 1.5, ColdSlack: 5}, rand.New(rand.NewPCG(1, 2)), others)
 }
 
@@ -69,11 +68,11 @@
 // The loads of other instances count, though they come late: a server that
 // they have filled gets nothing more from here.
 func TestOthersLoadCounts(t *testing.T) {
-	b := newBalancer(func(_ time.Time, id string) gossip.Load {
+	b := newBalancer(func(_ time.Time, id string) Load {
 		if id == "s0" {
-			return gossip.Load{Running: 9, Tokens: 36000}
+			return Load{Running: 9, Tokens: 36000}
 		}
-		return gossip.Load{}
+		return Load{}
 	})
 	for range 4 {
 		require.NotEqual(t, "s0", picked(t, b.Pick(start, Request{Service: engines, Tokens: 3000}, servers(3, 24))).Server.ID)
@@ -137,11 +136,11 @@
 // at one link and at the next engine that leaves.
 func TestMovedGenerationsSpread(t *testing.T) {
 	list := servers(10, 24)
-	loads := func(_ time.Time, id string) gossip.Load {
+	loads := func(_ time.Time, id string) Load {
 		if id == "s0" {
-			return gossip.Load{}
+			return Load{}
 		}
-		return gossip.Load{Running: 3, Tokens: 11000}
+		return Load{Running: 3, Tokens: 11000}
 	}
 	per := map[string]int{}
 	for i := range uint64(14) {
@@ -193,11 +192,11 @@
 func TestNewEngineIsNotFlooded(t *testing.T) {
 	const perSecond, seconds, prompt, onTime = 11, 4, 3000, 800 * time.Millisecond
 	list := servers(12, 24)
-	b := newBalancer(func(_ time.Time, id string) gossip.Load {
+	b := newBalancer(func(_ time.Time, id string) Load {
 		if id == "s0" || id == "s1" {
-			return gossip.Load{}
+			return Load{}
 		}
-		return gossip.Load{Running: 5, Tokens: 20000}
+		return Load{Running: 5, Tokens: 20000}
 	})
 	free, late := map[string]time.Time{}, 0
 	for i := range perSecond * seconds {
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -84,7 +84,10 @@
 	if own, ok := b.own[s.ID]; ok {
 		running, tokens = own.running, own.tokens
 	}
-	others := b.others(now, s.ID)
+	var others Load
+	if b.others != nil {
+		others = b.others(now, s.ID)
+	}
 	running += others.Running + 1
 	tokens += others.Tokens + r.Tokens
 	slots := float64(max(1, s.Slots))
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -123,7 +123,7 @@
 // calls follows the runs and not the size of the deployment.
 func (s *Server) ask(ctx context.Context, asked map[string]time.Time) {
 	now := s.opts.Now()
-	if s.opts.State.Age(now, observed.Servers) < observed.ServersEvery(s.opts.Instances())+platformSilent {
+	if s.opts.State.Age(now, observed.Servers) < observed.ServersEvery+platformSilent {
 		clear(asked)
 		return
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -23,7 +23,6 @@
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
-	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/routes"
@@ -141,9 +140,9 @@
 	t.Cleanup(func() { logged.show(t) })
 	server, err := NewServer(Options{
 		Callers: callers, Ready: listen(), Directory: listen(), Zone: "zone-a", State: f.state, Dialect: testDialect(),
-		Balancer:  balancer.New(balancer.Bounds{}, rng, func(time.Time, string) gossip.Load { return gossip.Load{} }),
+		Balancer:  balancer.New(balancer.Bounds{}, rng, nil),
 		Retries:   retry.NewBudgets(rng),
-		Instances: func() int { return 1 }, Addresses: func(time.Time, string) []string { return []string{"a"} },
+		Instances: func() int { return 1 }, Addresses: func(string) []string { return []string{"a"} },
 		Grace: 8 * time.Second, Log: zerolog.New(logged), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Now: f.clock.now,
 	})
 	require.NoError(t, err)
@@ -360,7 +359,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := &Server{opts: Options{State: observed.NewState()}}
 			if tt.outage {
-				s.opts.State.Lost()
+				s.opts.State.Lost(time.Now())
 			}
 			f := answer.Of(s.unready())
 			require.Equal(t, answer.OutcomeNotRun, f.Outcome)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -140,7 +140,7 @@
 
 // deny says that something doesn't exist only as of a fresh configuration.
 func (s *Server) deny(now time.Time, f *answer.Failure) error {
-	if s.opts.State.Age(now, observed.Configuration) > denyFresh {
+	if s.opts.State.Age(now, observed.Configuration) > s.opts.DenyFresh {
 		return s.unready()
 	}
 	return f
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -82,10 +82,13 @@
 	// Instances returns how many instances share common limits.
 	Instances func() int
 	// Addresses returns the instances that a caller in a zone may use.
-	Addresses func(now time.Time, zone string) []string
+	Addresses func(zone string) []string
 	// Planner plans with the other instances where generations begin and when
 	// they are copied; nil means that this one decides alone.
 	Planner *planner.Planner
+	// DenyFresh is how long ago the configuration may have been confirmed for a
+	// request to be denied by it; 0 for the default.
+	DenyFresh time.Duration
 	// Grace is how long requests have to end after [Server.Drain].
 	Grace  time.Duration
 	Log    zerolog.Logger
@@ -124,6 +127,9 @@
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internal[strings.ToLower(name)] = true
 	}
+	if s.opts.DenyFresh == 0 {
+		s.opts.DenyFresh = denyFresh
+	}
 	var err error
 	if s.carriers, err = ants.NewPool(carries, ants.WithNonblocking(true)); err != nil {
 		return nil, merry.Prepend(err, "make pool of carriers")
@@ -212,6 +218,9 @@
 	s.draining.Store(true)
 }
 
+// Draining reports whether the server leaves.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // Running returns how many requests are at work.
 func (s *Server) Running() int64 { return s.running.Load() }
 
@@ -255,7 +264,7 @@
 }
 
 func (s *Server) directory(_ context.Context, c *app.RequestContext) {
-	addresses := s.opts.Addresses(s.opts.Now(), c.Query(s.opts.Dialect.DirectoryZone))
+	addresses := s.opts.Addresses(c.Query(s.opts.Dialect.DirectoryZone))
 	c.Data(http.StatusOK, "application/json", s.opts.Dialect.Directory(addresses, directoryKeep))
 }
 
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -28,6 +28,7 @@
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/ingress"
+	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/peer"
@@ -67,6 +68,11 @@
 	// retryPart is the part of the deployment's retries that is spent on
 	// attempts; the rest is for generations that go on at another server.
 	retryPart = 0.5
+	// denyShare is the part of the time in which configurations are to be in force
+	// for which one that was confirmed may deny a request.
+	denyShare = 0.95
+	// maxAddresses is how many instances a caller is told of.
+	maxAddresses = 64
 	// settingsEvery is how often the settings file is looked at.
 	settingsEvery = time.Second
 )
@@ -87,8 +93,9 @@
 	tel    *telemetry.Telemetry
 	log    zerolog.Logger
 	state  *observed.State
-	table  *gossip.Table
+	table  *membership.Table
 	gossip *gossip.Gossip
+	plans  *planner.Planner
 	follow *observed.Follower
 	server *ingress.Server
 	duties sync.WaitGroup
@@ -128,39 +135,67 @@
 	cfg, d := in.cfg, in.opts.Dialect
 	in.state = observed.NewState()
 	objects := objectapi.NewClient("http://"+cfg.PlatformAddress, objectapi.Options{
-		Form: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst,
+		Form: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst, OnCall: in.countCall,
 	})
-	in.table = gossip.NewTable(gossip.Record{
+	in.table = membership.NewTable(membership.Record{
 		ID: cfg.Instance, Peer: cfg.PeerAddress, Caller: cfg.CallerAddress, Zone: cfg.Zone, Started: time.Now().UnixMilli(),
 	})
-	in.follow = observed.NewFollower(observed.Options{
-		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
-		Instances: in.table.Count, Rank: in.table.Rank, Announce: func(ctx context.Context) { in.gossip.Announce(ctx) },
-	})
 	bounds := balancer.Bounds{ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack}
-	placing := balancer.New(bounds, rand.New(rand.NewPCG(rand.Uint64(), 1)), in.table.Load)
+	placing := balancer.New(bounds, rand.New(rand.NewPCG(rand.Uint64(), 1)), nil)
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
 	}
-	plans := planner.New(planner.Options{
-		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.On, Failures: placing.Failures,
+	in.plans = planner.New(planner.Options{
+		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.Load, Failures: placing.Failures,
 		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
 	})
-	if err := in.buildServer(ctx, placing, plans); err != nil {
+	in.gossip, err = gossip.New(gossip.Options{
+		Table: in.table, State: in.state, Key: key,
+		Seeds:  strings.FieldsFunc(cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' }),
+		Status: in.status, Handlers: in.plans.Handlers(),
+		TakeRaw: func(now time.Time, value []byte, source string) { in.follow.TakeRaw(now, value, source) },
+		Log:     telemetry.Part(in.tel.Log, "peer"), Scope: in.tel.Metrics.SubScope("peer"), Now: time.Now,
+	})
+	if err != nil {
 		return err
 	}
-	in.gossip = gossip.New(gossip.Options{
-		Table: in.table, State: in.state, Self: cfg.Instance, Key: key, Own: cfg.PeerAddress,
-		Seeds: strings.FieldsFunc(cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' }),
-		Load:  placing.Load, Ready: in.server.Ready, TakeRaw: in.follow.TakeRaw,
-		Handlers: plans.Handlers(),
-		Log:      telemetry.Part(in.tel.Log, "peer"), Now: time.Now,
+	in.follow = observed.NewFollower(observed.Options{
+		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
+		Rank: in.table.Rank, Announce: in.gossip.Announce, Joined: in.gossip.Joined(), Bounds: boundsOf(cfg),
 	})
-	return nil
+	return in.buildServer(ctx, placing)
+}
+
+// boundsOf returns the deployment's bounds, or the default ones.
+func boundsOf(cfg settings.Ingress) observed.Bounds {
+	b := observed.DefaultBounds
+	for _, one := range []struct {
+		millis float64
+		bound  *time.Duration
+	}{{cfg.ConfigurationMillis, &b.Configuration}, {cfg.DrainMillis, &b.Servers}, {cfg.EvacuationMillis, &b.Zones}} {
+		if one.millis > 0 {
+			*one.bound = time.Duration(one.millis * float64(time.Millisecond))
+		}
+	}
+	return b
 }
 
-func (in *instance) buildServer(ctx context.Context, placing *balancer.Balancer, plans *planner.Planner) error {
+// status is what other instances are told of this one.
+func (in *instance) status() membership.Status {
+	return membership.Status{Ready: in.server.Ready(), Leaving: in.server.Draining(), Blind: in.follow.Blind()}
+}
+
+// countCall counts a call to the platform.
+func (in *instance) countCall(c objectapi.Call) {
+	outcome := "answered"
+	if c.Err != nil {
+		outcome = "failed"
+	}
+	in.tel.Metrics.SubScope("platform").Tagged(map[string]string{"op": c.Op, "kind": c.Kind, "outcome": outcome}).Counter("calls").Inc(1)
+}
+
+func (in *instance) buildServer(ctx context.Context, placing *balancer.Balancer) error {
 	cfg := in.cfg
 	var listeners [3]net.Listener
 	for i, address := range []string{cfg.CallerAddress, cfg.ReadyAddress, cfg.DirectoryAddress} {
@@ -174,7 +209,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.table.Count, Addresses: in.table.Callers, Planner: plans,
+		Instances: in.table.Count, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
@@ -182,6 +217,11 @@
 	return err
 }
 
+// callers returns the instances that a caller in a zone may use.
+func (in *instance) callers(zone string) []string {
+	return in.table.Callers(rand.New(rand.NewPCG(rand.Uint64(), 4)), zone, maxAddresses)
+}
+
 // retryLimits is this instance's share of what all may send again.
 func (in *instance) retryLimits() retry.Limits {
 	share := in.cfg.RetrySlack / float64(max(1, in.table.Count()))
@@ -199,6 +239,7 @@
 	failed := make(chan error, 2)
 	in.duties.Go(func() { in.follow.Run(duties) })
 	in.duties.Go(func() { in.gossip.Run(duties) })
+	in.duties.Go(func() { in.plans.Run(duties) })
 	in.duties.Go(func() { in.watchSettings(duties) })
 	in.duties.Go(func() { in.serveMetrics(duties) })
 	go func() { failed <- in.gossip.Serve(duties, peers) }()
@@ -225,7 +266,7 @@
 	in.log.Info().Int64("running", in.server.Running()).Msg("instance leaves")
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(grace))
 	defer cancel()
-	in.gossip.Leave(ctx)
+	in.gossip.Leave()
 	for objectapi.Pause(ctx, leaveCheck) == nil {
 		if in.server.Running() == 0 && time.Since(now) > leaveLeast {
 			break
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+func record(id, zone string) Record {
+	return Record{ID: id, Zone: zone, Peer: "peer-" + id, Caller: "caller-" + id, Started: 1, Change: 1, Status: Status{Ready: true}}
+}
+
+func down(r Record) Record { r.Down = true; return r }
+
+func newRNG() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestCallersAreSentToWhoIsThere(t *testing.T) {
+	leaving := record("b", "z1")
+	leaving.Status = Status{Leaving: true}
+	var many []Record
+	for i := range 80 {
+		many = append(many, record(fmt.Sprintf("m%02d", i), "z1"))
+	}
+	tests := map[string]struct {
+		others []Record
+		ready  bool
+		want   []string
+		number int
+	}{
+		"alone":             {ready: true, want: []string{"caller-a"}, number: 1},
+		"alone and leaving": {},
+		"two of the zone":   {ready: true, others: []Record{record("b", "z1"), record("c", "z2")}, want: []string{"caller-a", "caller-b"}, number: 2},
+		"one of the zone":   {ready: true, others: []Record{record("c", "z2")}, want: []string{"caller-a", "caller-c"}, number: 2},
+		"down ones are out": {ready: true, others: []Record{down(record("b", "z1"))}, want: []string{"caller-a"}, number: 1},
+		"leaving ones too":  {ready: true, others: []Record{leaving}, want: []string{"caller-a"}, number: 1},
+		"more than fit":     {ready: true, others: many, number: 64},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(record("a", "z1"))
+			table.Set(start, Status{Ready: tt.ready})
+			table.Merge(start, tt.others)
+			got := table.Callers(newRNG(), "z1", 64)
+			require.Len(t, got, tt.number)
+			if tt.want != nil {
+				require.Equal(t, tt.want, got)
+			}
+		})
+	}
+}
+
+// Guards against a dead process that comes to life by old news, and a new one
+// under its name that is taken for dead.
+func TestNewerRecordWins(t *testing.T) {
+	first := record("b", "z1")
+	changed, restarted := first, first
+	changed.Change, changed.Ready = 2, false
+	restarted.Started, restarted.Change = 2, 0
+	tests := map[string]struct{ known, told, want Record }{
+		"a change":             {first, changed, changed},
+		"an older change":      {changed, first, changed},
+		"down":                 {first, down(first), down(first)},
+		"down, before":         {changed, down(first), changed},
+		"no longer down":       {down(first), first, down(first)},
+		"answers that it runs": {down(first), changed, changed},
+		"a new process":        {down(changed), restarted, restarted},
+		"the old process":      {restarted, changed, restarted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(record("a", "z1"))
+			table.Merge(start, []Record{tt.known})
+			changed := table.Merge(start, []Record{tt.told})
+			require.Equal(t, tt.want != tt.known, len(changed) == 1)
+			got, ok := table.Get("b")
+			require.True(t, ok)
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// An instance that runs and is taken for down says so with a newer record.
+func TestInstanceAnswersThatItRuns(t *testing.T) {
+	self := record("a", "z1")
+	table := NewTable(self)
+	changed := table.Merge(start, []Record{down(self)})
+	require.Len(t, changed, 1)
+	require.False(t, changed[0].Down)
+	other := NewTable(record("b", "z1"))
+	other.Merge(start, []Record{down(self)})
+	other.Merge(start, changed)
+	got, _ := other.Get("a")
+	require.False(t, got.Down)
+	old := self
+	old.Started = 0
+	require.Empty(t, table.Merge(start, []Record{down(old)}), "an earlier process is down")
+}
+
+// Guards against a mark that comes too late: the instance has said since that it
+// runs, or has restarted.
+func TestMarkDownOnlyWhatWasProbed(t *testing.T) {
+	table := NewTable(record("a", "z1"))
+	probed := record("b", "z1")
+	table.Merge(start, []Record{probed})
+	newer := probed
+	newer.Change++
+	table.Merge(start, []Record{newer})
+	_, ok := table.MarkDown(start, probed)
+	require.False(t, ok)
+	r, ok := table.MarkDown(start, newer)
+	require.True(t, ok)
+	require.True(t, r.Down)
+	_, ok = table.MarkDown(start, newer)
+	require.False(t, ok, "already known")
+}
+
+// An instance that is down counts in shared limits for a while, since it may be
+// cut off and go on by itself; nobody is told of it for long.
+func TestDownInstancesAreForgotten(t *testing.T) {
+	table := NewTable(record("a", "z1"))
+	table.Merge(start, []Record{down(record("b", "z1"))})
+	require.Equal(t, 2, table.Count())
+	require.Len(t, table.All(start), 2)
+	require.Len(t, table.All(start.Add(tellDownFor)), 1)
+	table.Merge(start.Add(forgetAfter), nil)
+	require.Equal(t, 2, table.Count())
+	table.Merge(start.Add(forgetAfter+time.Second), nil)
+	require.Equal(t, 1, table.Count())
+}
+
+// Of instances that know of each other exactly one has each turn; those that the
+// platform doesn't answer come last, those that leave after all others.
+func TestRanksAreAllDifferent(t *testing.T) {
+	statuses := map[string]Status{"a": {Ready: true}, "b": {Ready: true}, "c": {Ready: true, Blind: true}, "d": {Ready: true, Blind: true}, "e": {Leaving: true}}
+	tables := map[string]*Table{}
+	for id, status := range statuses {
+		tables[id] = NewTable(record(id, "z1"))
+		tables[id].Set(start, status)
+	}
+	for _, table := range tables {
+		for _, other := range tables {
+			table.Merge(start, []Record{other.Self()})
+		}
+	}
+	ranks := map[int]string{}
+	for id, table := range tables {
+		rank, blind := table.Rank("servers")
+		ranks[rank] = id
+		require.True(t, blind)
+	}
+	require.Len(t, ranks, 5)
+	require.ElementsMatch(t, []string{"a", "b"}, []string{ranks[0], ranks[1]})
+	require.ElementsMatch(t, []string{"c", "d"}, []string{ranks[2], ranks[3]})
+	require.Equal(t, "e", ranks[4])
+	first, _ := tables[ranks[0]].Get(ranks[0])
+	tables[ranks[1]].Merge(start, []Record{down(first)})
+	rank, _ := tables[ranks[1]].Rank("servers")
+	require.Zero(t, rank)
+}
+
+// Instances that know of each other ask the same one, and the same second one.
+func TestOwnersAreTheSameEverywhere(t *testing.T) {
+	ids := []string{"a", "b", "c", "d"}
+	var records []Record
+	for _, id := range ids {
+		records = append(records, record(id, "z1"))
+	}
+	firsts := map[string]bool{}
+	for key := range 20 {
+		var want []Record
+		for i, id := range ids {
+			table := NewTable(record(id, "z1"))
+			table.Merge(start, records)
+			got := table.Owners(fmt.Sprint(key), 2)
+			if i == 0 {
+				want = got
+			}
+			require.Equal(t, want, got)
+		}
+		require.Len(t, want, 2)
+		firsts[want[0].ID] = true
+	}
+	require.Len(t, firsts, len(ids))
+}
+
+// Each instance is probed once before any is probed again.
+func TestProbesGoRound(t *testing.T) {
+	const n = 40
+	table := NewTable(record("self", "z1"))
+	for i := range n {
+		table.Merge(start, []Record{record(fmt.Sprint(i), "z1")})
+	}
+	rng := newRNG()
+	for range 3 {
+		probed := map[string]bool{}
+		for range n {
+			r, ok := table.NextProbe(rng)
+			require.True(t, ok)
+			probed[r.ID] = true
+		}
+		require.Len(t, probed, n)
+	}
+}
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -13,36 +13,40 @@
 )
 
 const (
-	// configurationWait and zonesWait are how long the platform may hold a watch
-	// back. A watch that hears nothing costs one call; that it may hear nothing
-	// for a bad reason is what refreshes are for.
-	configurationWait = 20 * time.Second
-	zonesWait         = 20 * time.Second
-	// serversWait is short: engines give a notice of 1.5 s, and while the
-	// platform is silent for longer they are asked themselves. These calls are of
-	// the cheap kind.
+	// longWait is how long the platform may hold a watch back. That of the first
+	// in turn to watch the servers is short: engines give a notice of one and a
+	// half seconds, and while the platform is silent for longer they are asked
+	// themselves.
+	longWait    = 20 * time.Second
 	serversWait = 400 * time.Millisecond
-	// callTimeout is what a call may take beyond its wait. An answer takes
-	// milliseconds, and some 300 ms on a platform that is overloaded.
+	// newsTime is how long news takes at the most, as a rule, from the instance
+	// that watches to all others.
+	newsTime = 250 * time.Millisecond
+	// callTimeout is what a call may take beyond its wait, slowTimeout what it
+	// may take after calls that failed.
 	callTimeout = 600 * time.Millisecond
-	// slowTimeout is what it may take after calls that failed.
 	slowTimeout = 3 * time.Second
-	// gather is the pause between two watches of servers. Several leave and
-	// come together, and each change alone would wake every instance. Of many
-	// instances each pauses longer: with four dozen engines there is always a
-	// change, and a third of a second of an engine's notice of 1.5 s is borne.
+	// gather is the pause between two watches of servers: several leave and come
+	// together.
 	gather = 60 * time.Millisecond
-	// readers is how many instances read the platform at these times. Where
-	// there are more, each reads less often, up to maxStretch, so that the
-	// calls grow more slowly than the fleet: what one of them reads, the others
-	// hear of from each other.
-	readers    = 12
-	maxStretch = 5.0
 	// retryLeast and retryMost space calls to a platform that fails.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
 	// sweepEvery is how often entries that stayed missing are dropped.
 	sweepEvery = 250 * time.Millisecond
+	// watchers is how many instances watch a kind of objects for all.
+	watchers = 2
+	// turnCheck is how often an instance looks whether it is to watch.
+	turnCheck = 100 * time.Millisecond
+	// startDelay lets an instance that starts hear of more others than the one
+	// that it joined, who may know all that it would read; joinMost is how long it
+	// waits to join.
+	startDelay = 250 * time.Millisecond
+	joinMost   = 700 * time.Millisecond
+	// blindAfter is how long calls fail until another instance is to watch, and
+	// blindFor how long this one leaves that to others then.
+	blindAfter = 500 * time.Millisecond
+	blindFor   = 5 * time.Second
 )
 
 // Options configures a [Follower].
@@ -52,62 +56,84 @@
 	Dialect dialect.Dialect
 	Log     zerolog.Logger
 	Now     func() time.Time
-	// Instances returns how many instances follow the platform.
-	Instances func() int
-	// Rank returns this instance's place among those that take turns at reading
-	// a part, 0 for the first; nil means that there is no other.
-	Rank func(now time.Time, key string) int
-	// Announce, if set, tells others at once what was read.
-	Announce func(ctx context.Context)
+	// Rank returns this instance's place among those that may follow a kind of
+	// objects for all, 0 for the first, and whether one of those that run isn't
+	// answered by the platform; nil means that there is no other.
+	Rank func(kind string) (rank int, blind bool)
+	// Joined, if set, is closed once others were heard of.
+	Joined <-chan struct{}
+	// Bounds are the times in which changes are to be in force; zero for the
+	// default ones.
+	Bounds Bounds
+	// Announce, if set, has others told of what was heard. It doesn't wait.
+	Announce func()
 }
 
-// Follower keeps a [State] up to date from the platform, with one duty for
-// each kind of objects.
+// Follower keeps a [State] up to date from the platform, with one duty for each
+// kind of objects. Few instances watch a kind; the others are told by them, and
+// read by themselves where they aren't told in time.
 type Follower struct {
-	opts Options
-	// outage is set while calls to the platform fail.
-	mu     sync.Mutex
-	failed int
+	opts    Options
+	started time.Time
+
+	mu sync.Mutex
+	// failed counts the calls that failed in series since failing.
+	failed  int
+	failing time.Time
+	failure time.Time
 }
 
 // NewFollower returns a follower that is ready to run.
-func NewFollower(opts Options) *Follower { return &Follower{opts: opts} }
+func NewFollower(opts Options) *Follower {
+	if opts.Rank == nil {
+		opts.Rank = func(string) (int, bool) { return 0, false }
+	}
+	if opts.Bounds == (Bounds{}) {
+		opts.Bounds = DefaultBounds
+	}
+	if opts.Announce == nil {
+		opts.Announce = func() {}
+	}
+	return &Follower{opts: opts, started: opts.Now()}
+}
+
+// Blind reports whether the platform has failed to answer this instance for some
+// time, so that another one is to watch it.
+func (f *Follower) Blind() bool {
+	now := f.opts.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed > 1 && f.failure.Sub(f.failing) >= blindAfter && now.Sub(f.failure) < blindFor
+}
 
 // follow is one kind of objects.
 type follow struct {
 	part Part
 	kind string
-	// wait is how long a watch waits, first and last are when a refresh is due.
-	wait, first, last time.Duration
+	// wait is how long a watch waits, bound the time in which changes are to be in
+	// force.
+	wait, bound time.Duration
 	// list takes over a whole list, apply one change.
 	list  func(now time.Time, version int64, objects []objectapi.Object)
-	apply func(now time.Time, e objectapi.Event)
+	apply func(now time.Time, from, to int64, events []objectapi.Event)
 
 	mu sync.Mutex
 	// interrupt ends the watch that waits.
 	interrupt context.CancelFunc
 }
 
-// ServersEvery returns how often one of so many instances hears of the servers
-// at the latest.
-func ServersEvery(instances int) time.Duration { return serversWait + stretch(instances, gather) }
-
-// stretched is a wait for one of many instances.
-func (f *Follower) stretched(d time.Duration) time.Duration { return stretch(f.opts.Instances(), d) }
-
-func stretch(instances int, d time.Duration) time.Duration {
-	share := float64(instances) / readers
-	return time.Duration(float64(d) * min(maxStretch, max(1, share)))
-}
+// ServersEvery is how often an instance hears of the servers at the latest.
+const ServersEvery = serversWait + newsTime
 
 // Run follows the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	kinds := f.opts.Dialect.Kinds
+	bounds := f.opts.Bounds
 	for _, one := range []*follow{
-		{part: Configuration, kind: kinds.Configuration, wait: configurationWait, first: configurationFirst, last: configurationLast, list: f.listConfiguration, apply: f.applyConfiguration},
-		{part: Servers, kind: kinds.Servers, wait: serversWait, first: serversFirst, last: serversLast, list: f.listServers, apply: f.applyServer},
-		{part: Zones, kind: kinds.DrainedZones, wait: zonesWait, first: zonesFirst, last: zonesLast, list: f.listZones},
+		{part: Configuration, kind: kinds.Configuration, wait: longWait, bound: bounds.Configuration, list: f.listConfiguration, apply: f.applyConfiguration},
+		{part: Servers, kind: kinds.Servers, wait: serversWait, bound: bounds.Servers, list: f.listServers, apply: f.applyServers},
+		{part: Zones, kind: kinds.DrainedZones, wait: longWait, bound: bounds.Zones, list: f.listZones},
 	} {
 		duties.Go(func() { f.follow(ctx, one) })
 		duties.Go(func() { f.refresh(ctx, one) })
@@ -122,21 +148,62 @@
 	}
 }
 
-// follow lists a kind and watches it, again and again.
+// follow watches a kind while it is this instance's turn, from a list or from
+// what others have told.
 func (f *Follower) follow(ctx context.Context, one *follow) {
+	if f.join(ctx) != nil {
+		return
+	}
 	backoff := objectapi.Backoff{Min: retryLeast, Max: retryMost}
 	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
+	watching, list := false, true
 	for ctx.Err() == nil {
-		version, err := f.read(ctx, one, &patience)
-		if err != nil {
-			if objectapi.Pause(ctx, backoff.Fail()) != nil {
+		if turn := f.turn(one); turn != watching {
+			watching = turn
+			f.opts.Log.Info().Str("kind", one.kind).Bool("watching", turn).Msg("turn to watch the platform")
+		}
+		if !watching {
+			if objectapi.Pause(ctx, turnCheck) != nil {
 				return
 			}
 			continue
 		}
+		version, _ := f.opts.State.Version(one.part)
+		if list || version == 0 || one.part == Configuration {
+			var err error
+			if version, err = f.read(ctx, one, &patience); err != nil {
+				if objectapi.Pause(ctx, backoff.Fail()) != nil {
+					return
+				}
+				continue
+			}
+			f.opts.Announce()
+		}
 		backoff.Reset()
-		f.watch(ctx, one, version, &patience)
+		list = f.watch(ctx, one, version, &patience)
+	}
+}
+
+// join waits until others can be known.
+func (f *Follower) join(ctx context.Context) error {
+	if f.opts.Joined == nil {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(joinMost)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.opts.Joined:
+		return objectapi.Pause(ctx, startDelay)
 	}
+	return ctx.Err()
+}
+
+// turn reports whether this instance is to watch a kind for all.
+func (f *Follower) turn(one *follow) bool {
+	rank, _ := f.opts.Rank(one.kind)
+	return rank < watchers
 }
 
 // read lists a kind and takes the list over.
@@ -145,7 +212,7 @@
 	version, objects, err := f.opts.Objects.List(objectapi.WithTimeout(ctx, patience.Timeout()), one.kind)
 	if err != nil {
 		patience.Fail(f.opts.Now().Sub(start))
-		f.lost(one, err)
+		f.lost(start, one, err)
 		return 0, err
 	}
 	patience.Answered(f.opts.Now().Sub(start))
@@ -157,70 +224,78 @@
 	return version, nil
 }
 
-// watch follows changes until the list has to be read again.
-func (f *Follower) watch(ctx context.Context, one *follow, version int64, patience *objectapi.Patience) {
-	for ctx.Err() == nil {
+// watch follows changes while it is this instance's turn and reports whether the
+// list has to be read before the next watch.
+func (f *Follower) watch(ctx context.Context, one *follow, version int64, patience *objectapi.Patience) bool {
+	for ctx.Err() == nil && f.turn(one) {
 		start := f.opts.Now()
 		call, done := one.interruptible(ctx)
-		changes, err := f.opts.Objects.Watch(f.watchCall(call, one, patience), one.kind, version, one.wait)
+		rank, _ := f.opts.Rank(one.kind)
+		wait := one.wait
+		if rank > 0 {
+			wait = longWait
+		}
+		changes, err := f.opts.Objects.Watch(f.watchCall(call, patience), one.kind, version, wait)
 		interrupted := call.Err() != nil
 		done()
 		now := f.opts.Now()
 		if interrupted {
-			version, _ = f.opts.State.Version(one.part)
-			if one.part == Configuration {
-				return
-			}
-			continue
+			return one.part == Configuration
 		}
 		if errors.Is(err, objectapi.ErrCompacted) {
-			return
+			return true
 		}
 		if err != nil {
 			patience.Fail(now.Sub(start))
-			f.lost(one, err)
-			return
+			f.lost(start, one, err)
+			return true
 		}
 		f.regained()
 		if known, _ := f.opts.State.Version(one.part); one.part != Configuration && changes.Version < known {
-			// A refresh was quicker: these changes are older than what it read.
+			// A read in full was quicker: these changes are older than what it had.
 			version = known
 			continue
 		}
-		version = max(version, changes.Version)
 		if one.apply == nil && len(changes.Events) > 0 {
-			return
+			return true
 		}
-		for _, e := range changes.Events {
-			one.apply(now, e)
+		if len(changes.Events) > 0 {
+			one.apply(now, version, changes.Version, changes.Events)
+			// Without events the version stays: a watch that doesn't hear changes
+			// may answer with the version that they led to.
+			version = max(version, changes.Version)
 		}
-		if len(changes.Events) > 0 || one.part == Servers {
-			f.opts.State.Confirm(now, one.part, version)
+		if one.part == Servers {
+			f.opts.State.Confirm(now, one.part)
 		}
-		if len(changes.Events) > 0 && one.part == Servers && objectapi.Pause(ctx, f.stretched(gather)) != nil {
-			return
+		if rank == 0 || len(changes.Events) > 0 {
+			f.opts.Announce()
+		}
+		if len(changes.Events) > 0 && one.part == Servers && objectapi.Pause(ctx, gather) != nil {
+			return true
 		}
 	}
+	return false
 }
 
-// watchCall bounds one watch. Those of servers are many and of the cheap kind.
-func (f *Follower) watchCall(ctx context.Context, one *follow, patience *objectapi.Patience) context.Context {
-	ctx = objectapi.WithTimeout(ctx, patience.Timeout())
-	if one.part == Servers {
-		ctx = objectapi.AllowStale(ctx)
-	}
-	return ctx
+// watchCall bounds one watch. Watches may be answered late, which is cheap for the
+// platform: reads in full bound how late.
+func (f *Follower) watchCall(ctx context.Context, patience *objectapi.Patience) context.Context {
+	return objectapi.AllowStale(objectapi.WithTimeout(ctx, patience.Timeout()))
 }
 
 // lost and regained note an outage: what is missing right after it may return.
-func (f *Follower) lost(one *follow, err error) {
+func (f *Follower) lost(since time.Time, one *follow, err error) {
+	now := f.opts.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failed++
-	f.opts.State.Lost()
-	if f.failed == 1 {
+	if f.failed == 0 {
+		f.failing = since
 		f.opts.Log.Warn().Str("kind", one.kind).Err(err).Msg("platform lost")
 	}
+	f.failed++
+	f.failure = now
+	f.opts.State.Lost(now)
 }
 
 func (f *Follower) regained() {
@@ -240,9 +315,11 @@
 	}
 }
 
-func (f *Follower) applyConfiguration(now time.Time, e objectapi.Event) {
-	if e.Type == objectapi.EventPut {
-		f.takeConfiguration(now, e.Object)
+func (f *Follower) applyConfiguration(now time.Time, _, _ int64, events []objectapi.Event) {
+	for _, e := range events {
+		if e.Type == objectapi.EventPut {
+			f.takeConfiguration(now, e.Object)
+		}
 	}
 }
 
@@ -276,20 +353,25 @@
 	f.opts.State.ReplaceServers(now, version, list)
 }
 
-func (f *Follower) applyServer(now time.Time, e objectapi.Event) {
-	if e.Type == objectapi.EventDelete {
-		f.opts.Log.Info().Str("server", e.Object.Name).Msg("backend server gone")
-		f.opts.State.RemoveServer(now, e.Object.Name)
-		return
-	}
-	s, ok := f.server(e.Object)
-	if !ok {
-		// What was known of it is void: another writer may have replaced it.
-		f.opts.State.RemoveServer(now, e.Object.Name)
-		return
+// applyServers takes over changes of servers. An entry that can't be read takes
+// the place of the one before: another writer may have replaced it.
+func (f *Follower) applyServers(now time.Time, from, to int64, events []objectapi.Event) {
+	changes := make([]Change, 0, len(events))
+	for _, e := range events {
+		c := Change{ID: e.Object.Name}
+		if e.Type == objectapi.EventPut {
+			if s, ok := f.server(e.Object); ok {
+				c.Server = &s
+			}
+		}
+		line := f.opts.Log.Info().Str("server", c.ID).Int64("version", to).Bool("listed", c.Server != nil)
+		if c.Server != nil {
+			line = line.Str("zone", c.Server.Zone).Bool("leaving", c.Server.Leaving)
+		}
+		line.Msg("backend server")
+		changes = append(changes, c)
 	}
-	f.opts.Log.Info().Str("server", s.ID).Str("zone", s.Zone).Bool("leaving", s.Leaving).Msg("backend server")
-	f.opts.State.PutServer(now, s)
+	f.opts.State.ChangeServers(now, from, to, changes)
 }
 
 func (f *Follower) server(o objectapi.Object) (dialect.Server, bool) {
--- a/internal/observed/follow_test.go
+++ b/internal/observed/follow_test.go
@@ -67,7 +67,7 @@
 		},
 	}
 	follower := NewFollower(Options{
-		State: f.state, Objects: f.objects, Dialect: d, Log: zerolog.Nop(), Now: time.Now, Instances: func() int { return 1 },
+		State: f.state, Objects: f.objects, Dialect: d, Log: zerolog.Nop(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/observed/news_test.go
@@ -0,0 +1,155 @@
+package observed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pollenspindle.example/pollenspindle/internal/dialect"
+)
+
+func put(id string, cold time.Duration) Change {
+	s := server(id)
+	s.ColdFor = cold
+	return Change{ID: id, Server: &s}
+}
+
+func TestUpdateBringsUpToDate(t *testing.T) {
+	source := NewState()
+	source.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")})
+	source.ReplaceZones(start, 11, []string{"z9"})
+	require.True(t, source.ChangeServers(start, 10, 12, []Change{put("c", 0), {ID: "a"}}))
+	require.True(t, source.ChangeServers(start, 12, 14, []Change{put("d", 0)}))
+	tests := map[string]struct {
+		known   func(s *State)
+		since   int64
+		missing bool
+		whole   bool
+		want    []string
+	}{
+		"knows nothing":       {func(*State) {}, 0, false, true, []string{"b", "c", "d"}},
+		"lags behind":         {func(s *State) { s.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")}) }, 10, false, false, []string{"b", "c", "d"}},
+		"between two changes": {func(s *State) { s.ReplaceServers(start, 12, []dialect.Server{server("b"), server("c")}) }, 10, false, false, []string{"b", "c", "d"}},
+		"older than all":      {func(s *State) { s.ReplaceServers(start, 3, []dialect.Server{server("x")}) }, 3, false, true, []string{"b", "c", "d"}},
+		"missed one":          {func(s *State) { s.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")}) }, 12, true, false, []string{"a", "b"}},
+		"newer":               {func(s *State) { s.ReplaceServers(start, 20, []dialect.Server{server("n")}) }, 10, false, false, []string{"n"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			tt.known(s)
+			u := source.UpdateSince(start, 0, tt.since)
+			require.Equal(t, tt.whole, u.Whole)
+			require.Equal(t, tt.missing, s.Apply(start, &u))
+			require.Equal(t, tt.want, ids(s))
+			zones, _ := s.ZonesOut()
+			require.Equal(t, []string{"z9"}, zones)
+		})
+	}
+}
+
+// Guards against a server that takes too much while it is cold: what is left of
+// that time is told, not what there was.
+func TestColdTimeIsToldAsLeft(t *testing.T) {
+	a, b := NewState(), NewState()
+	a.ReplaceServers(start, 1, []dialect.Server{server("x")})
+	a.ChangeServers(start, 1, 2, []Change{put("s", 5*time.Second)})
+	now := start.Add(3 * time.Second)
+	u := a.UpdateSince(now, 0, 1)
+	b.ReplaceServers(start, 1, []dialect.Server{server("x")})
+	b.Apply(now, &u)
+	told, ok := b.Server("s")
+	require.True(t, ok)
+	require.Equal(t, start.Add(5*time.Second), told.ColdUntil)
+}
+
+// Guards against entries that are dropped for good right after an outage, by an
+// instance that was told of the platform by others alone.
+func TestToldInstanceNoticesAnOutage(t *testing.T) {
+	reader, told := NewState(), NewState()
+	for _, s := range []*State{reader, told} {
+		s.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")})
+		s.Read(start, Servers)
+	}
+	after := start.Add(silence + time.Second)
+	reader.Returned(after)
+	reader.ReplaceServers(after, 20, nil)
+	reader.Read(after, Servers)
+	u := reader.UpdateSince(after, 0, 10)
+	require.False(t, told.Apply(after, &u))
+	require.Equal(t, []string{"a", "b"}, ids(told))
+	told.Sweep(after.Add(returnTime))
+	require.Empty(t, ids(told))
+}
+
+// Whatever the order in which updates of two readers come, with some lost and
+// some twice: what is known never goes back, an instance that says that nothing
+// is missing has what the platform had, and a fetch ends every lag.
+func TestUpdatesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth, version := map[string]bool{}, int64(1)
+		history := map[int64][]string{}
+		readers := []*State{NewState(), NewState()}
+		names := func() []string {
+			var out []string
+			for i := range 6 {
+				if id := fmt.Sprint("s", i); truth[id] {
+					out = append(out, id)
+				}
+			}
+			return out
+		}
+		for _, r := range readers {
+			r.ReplaceServers(start, version, nil)
+		}
+		history[version] = names()
+		told := NewState()
+		var sent []Update
+		published := make([]int64, len(readers))
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				id := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "server"))
+				before := version
+				version += int64(rapid.IntRange(1, 3).Draw(t, "by"))
+				change := Change{ID: id}
+				if truth[id] = !truth[id]; truth[id] {
+					change = put(id, 0)
+				}
+				history[version] = names()
+				for i, r := range readers {
+					if known, _ := r.Version(Servers); known == before && rapid.Bool().Draw(t, "heard") {
+						require.True(t, r.ChangeServers(start, before, version, []Change{change}))
+					} else if rapid.Bool().Draw(t, "read") {
+						var list []dialect.Server
+						for _, id := range names() {
+							list = append(list, server(id))
+						}
+						r.ReplaceServers(start, version, list)
+					}
+					sent = append(sent, r.UpdateSince(start, 0, max(1, published[i])))
+					published[i], _ = r.Version(Servers)
+				}
+			case 2:
+				if len(sent) > 0 {
+					u := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "update")]
+					before, _ := told.Version(Servers)
+					told.Apply(start, &u)
+					after, _ := told.Version(Servers)
+					require.GreaterOrEqual(t, after, before)
+				}
+			case 3:
+				r := readers[rapid.IntRange(0, 1).Draw(t, "from")]
+				u := r.UpdateFor(start, told.Versions(start))
+				require.False(t, told.Apply(start, &u))
+				require.False(t, told.Behind(r.Versions(start)))
+			}
+			if at, _ := told.Version(Servers); at > 0 {
+				require.Equal(t, history[at], ids(told))
+			}
+		}
+	})
+}
--- a/internal/observed/refresh.go
+++ b/internal/observed/refresh.go
@@ -7,79 +7,101 @@
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 )
 
+// Bounds are the times in which what the platform has is to be in force.
+type Bounds struct {
+	Configuration, Servers, Zones time.Duration
+}
+
+// DefaultBounds are those of a deployment that has none of its own.
+var DefaultBounds = Bounds{Configuration: 2 * time.Second, Servers: 2 * time.Second, Zones: 5 * time.Second}
+
 const (
-	// A refresh is a read in full, which a deaf watch or a stale answer can't
-	// keep from the truth. What one instance reads, the others are told. The first
-	// times say how old the last read may get before the instance whose turn it is
-	// reads again, and rankStep how much longer each of the others waits for it.
-	// The last times say when any of them reads, told or not: below the two
-	// seconds in which a configuration, or a server that leaves, is to be in
-	// force, and the five of a zone taken out.
-	configurationFirst = 1000 * time.Millisecond
-	configurationLast  = 1700 * time.Millisecond
-	serversFirst       = 1200 * time.Millisecond
-	serversLast        = 1700 * time.Millisecond
-	zonesFirst         = 2000 * time.Millisecond
-	zonesLast          = 3000 * time.Millisecond
-	rankStep           = 500 * time.Millisecond
+	// firstShare is how old, as a share of the bound, the last read in full gets
+	// before the first in turn reads again, and lastShare before any instance
+	// does. Between them each waits rankShare longer than the one before it.
+	firstShare = 0.5
+	lastShare  = 0.85
+	rankShare  = 0.25
+	// serversFirst bounds the first time for servers, as engines give a notice of
+	// one and a half seconds.
+	serversFirst = 1500 * time.Millisecond
 	// refreshCheck is how often it is looked whether a refresh is due.
 	refreshCheck = 100 * time.Millisecond
 	// suspectAfter is for how long another instance may have read something else
-	// before it is read here: its watch and ours hear of a change within that.
+	// before it is read here, and suspectStep how much longer each of those waits
+	// that don't watch: what they lack is on its way.
 	suspectAfter = 300 * time.Millisecond
-	// longestLast bounds a stretched last time. What one of a hundred instances
-	// reads takes two seconds to reach all.
-	longestLast = 8 * time.Second
+	suspectStep  = 40 * time.Millisecond
+	maxSuspect   = time.Second
+	// aloneMost bounds the pause between reads that fail of an instance that
+	// doesn't watch.
+	aloneMost = 5 * time.Second
 )
 
-// refresh reads a kind in full whenever the last read, here or elsewhere, is
-// too old.
-//
-// The failure: a watch waits on a connection that has gone silent, or is told
-// nothing while changes are made. Nothing is heard, and nothing seems to be
-// wrong. Only a read shows it. With one watch for each instance and one read for
-// all, the calls hardly grow with the number of instances.
+// refresh reads a kind in full whenever the last read, here or elsewhere, is too
+// old: a half-open watch delivers no events and no error.
 func (f *Follower) refresh(ctx context.Context, one *follow) {
 	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
+	backoff := objectapi.Backoff{Min: retryMost, Max: aloneMost}
 	for objectapi.Pause(ctx, refreshCheck) == nil {
 		if !f.due(f.opts.Now(), one) {
 			continue
 		}
-		before := f.opts.State.Reading(one.part).Mark
+		before := f.opts.State.Mark(one.part)
 		if _, err := f.read(ctx, one, &patience); err != nil {
+			if objectapi.Pause(ctx, backoff.Fail()) != nil {
+				return
+			}
 			continue
 		}
-		if f.opts.State.Reading(one.part).Mark != before {
-			f.opts.Log.Warn().Str("kind", one.kind).Msg("watch didn't tell of a change")
+		backoff.Reset()
+		if f.opts.State.Mark(one.part) != before {
+			f.opts.Log.Warn().Str("kind", one.kind).Msg("a change had not been heard")
 			one.restart()
 		}
-		if f.opts.Announce != nil {
-			f.opts.Announce(ctx)
-		}
+		f.opts.Announce()
 	}
 }
 
-// due reports whether this instance is to refresh a kind. During an outage the
-// lists that precede each watch go on by themselves.
+// due reports whether this instance is to read a kind in full. While the platform
+// fails, the lists that precede each watch go on by themselves. One that doesn't
+// watch leaves it to others as long as one of them is known not to be answered:
+// they take each other's place in order, not all at once.
 func (f *Follower) due(now time.Time, one *follow) bool {
-	if f.opts.State.Outage() {
+	rank, blind := f.opts.Rank(one.kind)
+	watching := rank < watchers
+	if watching && f.opts.State.Outage() {
 		return false
 	}
-	if suspect := f.opts.State.Suspect(one.part); !suspect.IsZero() && now.Sub(suspect) >= suspectAfter {
-		return true
+	if suspect := f.opts.State.Suspect(one.part); !suspect.IsZero() {
+		after := suspectAfter
+		if !watching {
+			after = min(maxSuspect, after+time.Duration(rank)*suspectStep)
+		}
+		if now.Sub(suspect) >= after {
+			return true
+		}
 	}
 	read := f.opts.State.Reading(one.part).At
 	if read.IsZero() {
-		return false
+		if watching {
+			return false
+		}
+		read = f.started
 	}
-	rank := 0
-	if f.opts.Rank != nil {
-		rank = f.opts.Rank(now, one.kind)
+	first := share(one.bound, firstShare)
+	if one.part == Servers {
+		first = min(first, serversFirst)
 	}
-	after := one.first + time.Duration(rank)*rankStep
-	return now.Sub(read) >= min(after, longestLast, f.stretched(one.last))
+	after := first + time.Duration(rank)*share(one.bound, rankShare)
+	if !blind || watching {
+		after = min(after, share(one.bound, lastShare))
+	}
+	return now.Sub(read) >= after
 }
 
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
 // restart ends the watch that waits; it begins anew from what is known.
 func (one *follow) restart() {
 	one.mu.Lock()
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -41,21 +41,21 @@
 func (p Part) Valid() bool { return p >= Configuration && p < parts }
 
 // returnTime is how long entries of backend servers that expired during an
-// outage of the platform may stay missing after it.
-//
-// The failure: the platform drops entries that weren't renewed while it was
-// down, although the servers work. An instance that believed the first list
-// after the outage would refuse requests while servers stand free. The platform
-// says that such entries are back within two seconds.
+// outage of the platform may stay missing after it: servers that work renew
+// theirs within two seconds.
 const returnTime = 2200 * time.Millisecond
 
+// silence is after how long without an answer of the platform to anybody the
+// entries of servers may have expired.
+const silence = 3 * time.Second
+
 // Server is a backend server with the time until which it is cold.
 type Server struct {
 	dialect.Server
 	ColdUntil time.Time
-	// told is whether the platform says that it leaves; the server itself may
-	// have said so before.
-	told bool
+	// listed is the platform's entry; the server itself may have said before
+	// the platform that it leaves.
+	listed dialect.Server
 	// missingSince is set while the entry is missing after an outage.
 	missingSince time.Time
 }
@@ -64,20 +64,25 @@
 type State struct {
 	table atomic.Pointer[routes.Table]
 	view  atomic.Pointer[view]
-	// outage is set while calls to the platform fail.
-	outage atomic.Bool
 
 	mu        sync.Mutex
 	servers   map[string]Server
 	zones     map[string]bool
 	versions  [parts]int64
 	confirmed [parts]time.Time
-	// read is as of when a read of the platform, here or by another instance,
-	// had what is known; suspect is since when another has read otherwise.
-	read    [parts]time.Time
-	suspect [parts]time.Time
-	// altered is when what is known last changed.
-	altered [parts]time.Time
+	// marks tell contents apart, whatever their versions.
+	marks [parts]uint64
+	// readings are the newest reads in full of what is known, here or elsewhere;
+	// suspect is since when another instance is known to have read otherwise.
+	readings [parts]Reading
+	suspect  [parts]time.Time
+	// contact is when the platform last answered any instance known here, lostAt
+	// when it last failed to answer this one.
+	contact, lostAt time.Time
+	// log holds the changes of the servers after logFrom.
+	log     []logged
+	gaps    []gap
+	logFrom int64
 	raw     []byte
 	// returning is until when missing entries may come back.
 	returning time.Time
@@ -94,6 +99,7 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	s := &State{servers: map[string]Server{}, zones: map[string]bool{}, changed: make(chan struct{}, 1)}
+	s.marks[Zones] = zonesMark(s.zones)
 	s.publish()
 	return s
 }
@@ -140,7 +146,7 @@
 	s.table.Store(routes.NewTable(cfg))
 	s.versions[Configuration] = cfg.Version
 	s.raw = raw
-	s.alter(now, Configuration)
+	s.alter(Configuration, uint64(cfg.Version))
 	return true
 }
 
@@ -151,16 +157,12 @@
 	return s.raw
 }
 
-// Confirm notes that a part is still what it was at version.
-func (s *State) Confirm(now time.Time, p Part, version int64) {
+// Confirm notes that a part is heard of.
+func (s *State) Confirm(now time.Time, p Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version >= s.versions[p] || p == Configuration {
-		s.confirm(now, p)
-	}
-	if p != Configuration {
-		s.versions[p] = max(s.versions[p], version)
-	}
+	s.touch(now)
+	s.confirm(now, p)
 }
 
 func (s *State) confirm(now time.Time, p Part) {
@@ -169,63 +171,38 @@
 	}
 }
 
-// Lost notes that the platform doesn't answer.
-func (s *State) Lost() { s.outage.Store(true) }
-
-// Outage reports whether the platform doesn't answer.
-func (s *State) Outage() bool { return s.outage.Load() }
-
-// Returned notes that the platform answers again after an outage.
-func (s *State) Returned(now time.Time) {
-	s.outage.Store(false)
+// Lost notes that the platform didn't answer.
+func (s *State) Lost(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.returning = now.Add(returnTime)
+	s.lostAt = now
 }
 
-// ReplaceServers takes over a whole list as of version.
-func (s *State) ReplaceServers(now time.Time, version int64, list []dialect.Server) bool {
+// Outage reports whether the platform doesn't answer, neither this instance nor
+// any that it hears of.
+func (s *State) Outage() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version < s.versions[Servers] {
-		return false
-	}
-	s.versions[Servers] = version
-	s.confirm(now, Servers)
-	before := s.serversMark()
-	listed := make(map[string]bool, len(list))
-	for _, server := range list {
-		listed[server.ID] = true
-		s.put(now, server)
-	}
-	for id := range s.servers {
-		if !listed[id] {
-			s.remove(now, id)
-		}
-	}
-	if s.serversMark() != before {
-		s.alter(now, Servers)
-	}
-	s.publish()
-	return true
+	return !s.lostAt.IsZero() && !s.contact.After(s.lostAt)
 }
 
-// PutServer takes over one entry, RemoveServer its end.
-func (s *State) PutServer(now time.Time, server dialect.Server) {
+// Returned notes that the platform answers again after an outage.
+func (s *State) Returned(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(now, server)
-	s.alter(now, Servers)
-	s.publish()
+	s.lostAt = time.Time{}
+	s.returning = now.Add(returnTime)
 }
 
-// RemoveServer notes that an entry is gone.
-func (s *State) RemoveServer(now time.Time, id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(now, id)
-	s.alter(now, Servers)
-	s.publish()
+// touch notes that the platform answered some instance. After a silence longer
+// than its servers' heartbeats entries may be missing that will be back.
+func (s *State) touch(at time.Time) {
+	if !s.contact.IsZero() && at.Sub(s.contact) > silence {
+		s.returning = at.Add(returnTime)
+	}
+	if at.After(s.contact) {
+		s.contact = at
+	}
 }
 
 // MarkLeaving notes that a server itself says that it leaves, where the
@@ -242,25 +219,6 @@
 	s.publish()
 }
 
-func (s *State) put(now time.Time, server dialect.Server) {
-	s.servers[server.ID] = Server{Server: server, told: server.Leaving, ColdUntil: now.Add(server.ColdFor)}
-}
-
-func (s *State) remove(now time.Time, id string) {
-	server, ok := s.servers[id]
-	if !ok {
-		return
-	}
-	if now.Before(s.returning) && !server.Leaving {
-		if server.missingSince.IsZero() {
-			server.missingSince = now
-			s.servers[id] = server
-		}
-		return
-	}
-	delete(s.servers, id)
-}
-
 // Sweep drops entries that stayed missing after an outage.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
@@ -271,6 +229,7 @@
 	n := len(s.servers)
 	maps.DeleteFunc(s.servers, func(_ string, server Server) bool { return !server.missingSince.IsZero() })
 	if len(s.servers) != n {
+		s.alter(Servers, serversMark(s.servers))
 		s.publish()
 	}
 }
@@ -284,28 +243,15 @@
 	}
 	s.versions[Zones] = version
 	s.confirm(now, Zones)
-	before := s.mark(Zones)
 	s.zones = map[string]bool{}
 	for _, zone := range zones {
 		s.zones[zone] = true
 	}
-	if s.mark(Zones) != before {
-		s.alter(now, Zones)
-	}
+	s.alter(Zones, zonesMark(s.zones))
 	s.publish()
 	return true
 }
 
-// Listed returns the servers and as of which version, for other instances.
-func (s *State) Listed() (servers []dialect.Server, at int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range s.servers {
-		servers = append(servers, server.Server)
-	}
-	return servers, s.versions[Servers]
-}
-
 // ZonesOut returns the availability zones that are taken out, and as of which
 // version.
 func (s *State) ZonesOut() ([]string, int64) {
--- /dev/null
+++ b/internal/planner/groups.go
@@ -0,0 +1,117 @@
+package planner
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/observed"
+)
+
+const (
+	// groupSize is up to how many engines one instance plans for. Choosing among
+	// two dozen is nearly as good as among all.
+	groupSize = 32
+	// foreignCost is what a group of another availability zone weighs, as a score
+	// of the balancer.
+	foreignCost = 0.12
+	// scoreTTL is how long the score of a group's last choice is believed.
+	scoreTTL = time.Second
+)
+
+// groupKey names the group of engines that one instance plans for: all engines
+// of a small service, else those of one availability zone, or a part of them.
+// Copies of generations stay in a zone where they can, and so in the plan of one
+// instance.
+func groupKey(engines []observed.Server, service string, engine *observed.Server) string {
+	if len(engines) <= groupSize {
+		return service
+	}
+	near := 0
+	for i := range engines {
+		if engines[i].Zone == engine.Zone {
+			near++
+		}
+	}
+	key := service + "@" + engine.Zone
+	if parts := (near + groupSize - 1) / groupSize; parts > 1 {
+		key += "#" + strconv.Itoa(hashOf(engine.ID, parts))
+	}
+	return key
+}
+
+func hashOf(name string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() % uint32(n))
+}
+
+// group is the engines that one instance plans for.
+type group struct {
+	key, zone string
+	engines   []observed.Server
+}
+
+// groupsOf divides the engines of a service into groups.
+func groupsOf(engines []observed.Server, service string) []group {
+	if len(engines) <= groupSize {
+		return []group{{key: service, engines: engines}}
+	}
+	byKey := map[string]*group{}
+	var keys []string
+	for i := range engines {
+		key := groupKey(engines, service, &engines[i])
+		g, ok := byKey[key]
+		if !ok {
+			g = &group{key: key, zone: engines[i].Zone}
+			byKey[key] = g
+			keys = append(keys, key)
+		}
+		g.engines = append(g.engines, engines[i])
+	}
+	slices.Sort(keys)
+	groups := make([]group, len(keys))
+	for i, key := range keys {
+		groups[i] = *byKey[key]
+	}
+	return groups
+}
+
+// score is what a group's last choice came to.
+type score struct {
+	value float64
+	at    time.Time
+}
+
+// inOrder returns the groups in the order in which they are asked: the least
+// loaded first, as far as the last choices tell, those of the asker's zone before
+// others that are about as free.
+func (p *Planner) inOrder(now time.Time, groups []group, zone, request string) []group {
+	if len(groups) == 1 {
+		return groups
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cost := func(g group) float64 {
+		c := 0.0
+		if s, ok := p.scores[g.key]; ok && now.Sub(s.at) < scoreTTL {
+			c = s.value
+		} else if g.zone != zone {
+			c = foreignCost
+		}
+		return c
+	}
+	out := slices.Clone(groups)
+	slices.SortFunc(out, func(a, b group) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(hashOf(a.key+request, 1<<20), hashOf(b.key+request, 1<<20)))
+	})
+	return out
+}
+
+func (p *Planner) noteScore(key string, now time.Time, value float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scores[key] = score{value, now}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,12 +2,10 @@
 // engine a generation begins on, and when a generation that leaves its engine
 // is copied, and to which.
 //
-// Instances tell each other of their loads once in a while. Prompts come faster
-// than that: by what each knows, all choose the same engine, and all copy over
-// the same link. So they ask one among them, found by hashing, that sees what it
-// has given out in the meantime. It keeps nothing but some seconds of its own
-// plan and holds no right: an instance that can't reach it decides by itself,
-// and the next one begins with an empty plan.
+// Instances report what they have on the engines of a group to the one among them
+// that plans for it, found by hashing, which adds what it has assigned since. It
+// holds no right: an instance that can't reach it asks the next one, or decides by
+// itself.
 //
 // # Usage
 //
@@ -20,8 +18,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -30,14 +26,17 @@
 	"github.com/rs/zerolog"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
-	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/peer"
+	"pollenspindle.example/pollenspindle/internal/peerrpc"
 )
 
 const (
-	turnProcedure  = "/pollenspindle.planner.v1.Planner/Turn"
-	placeProcedure = "/pollenspindle.planner.v1.Planner/Place"
+	turnProcedure   = "/pollenspindle.planner.v1.Planner/Turn"
+	placeProcedure  = "/pollenspindle.planner.v1.Planner/Place"
+	reportProcedure = "/pollenspindle.planner.v1.Planner/Report"
 	// turnTimeout bounds the call for a turn: its answer takes gather and two
 	// ways, and an engine that leaves stays for one and a half seconds.
 	turnTimeout = 150 * time.Millisecond
@@ -46,8 +45,10 @@
 	placeTimeout = 60 * time.Millisecond
 	// restAfter is how long a planner that didn't answer isn't asked again.
 	restAfter = time.Second
-	// maxGroups is how many groups are asked for room.
+	// maxGroups is how many groups are asked for room, maxOwners how many
+	// instances for a plan of one group.
 	maxGroups = 3
+	maxOwners = 2
 )
 
 // ErrUnavailable means that no plan was to be had; the asker goes on by itself.
@@ -60,6 +61,8 @@
 type Leaving struct {
 	Run     string `json:"run"`
 	Service string `json:"service"`
+	// By is the instance that asks.
+	By string `json:"by"`
 	// Engine is the id of the engine that leaves, Zone where it stands.
 	Engine string `json:"engine"`
 	Zone   string `json:"zone"`
@@ -84,7 +87,7 @@
 	// By is the instance that asks.
 	By string `json:"by"`
 	// Group is the group of engines that is planned for.
-	Group int    `json:"group"`
+	Group string `json:"group"`
 	Zone  string `json:"zone"`
 	// Prompt is to be read, Need the memory that the generation is expected to
 	// need in all, in tokens.
@@ -94,21 +97,23 @@
 	Excluded []string `json:"excluded,omitempty"`
 }
 
-// Placed is the id of the engine that a generation begins on.
+// Placed is the id of the engine that a generation begins on, and what the choice
+// came to.
 type Placed struct {
-	Engine string `json:"engine"`
+	Engine string  `json:"engine"`
+	Score  float64 `json:"score"`
 }
 
 // Options configures a [Planner].
 type Options struct {
 	Self  string
-	Table *gossip.Table
+	Table *membership.Table
 	Key   peer.Key
 	State *observed.State
-	// Bounds are the deployment's limits on cold servers, Own is what this
-	// instance has put on a server.
+	// Bounds are the deployment's limits on cold servers.
 	Bounds balancer.Bounds
-	Own    func(id string) gossip.Load
+	// Own returns what this instance has on the servers.
+	Own func() map[string]balancer.Load
 	// Failures returns how often a server failed this instance lately.
 	Failures func(now time.Time, id string) float64
 	Log      zerolog.Logger
@@ -120,32 +125,34 @@
 type Planner struct {
 	opts     Options
 	schedule *Schedule
-	// plan counts what was given out and isn't known otherwise yet.
-	plan   *balancer.Balancer
-	client *http.Client
+	loads    *Loads
+	plan     *balancer.Balancer
+	caller   *peerrpc.Caller
 
 	mu sync.Mutex
-	// given is what was given out, until its instance has told of it.
-	given []given
-	// resting are planners that didn't answer, and until when they aren't asked.
-	resting map[string]time.Time
+	// backoff are planners that didn't answer, and until when they aren't asked.
+	backoff map[string]time.Time
+	// scores are by group.
+	scores map[string]score
 }
 
 // New returns a planner.
 func New(opts Options) *Planner {
-	p := &Planner{opts: opts, schedule: NewSchedule(), client: gossip.NewClient(turnTimeout), resting: map[string]time.Time{}}
-	known := func(now time.Time, id string) gossip.Load {
-		return opts.Table.Load(now, id).Plus(opts.Own(id))
+	p := &Planner{
+		opts: opts, schedule: NewSchedule(), loads: NewLoads(), caller: peerrpc.NewCaller(opts.Key, opts.Self, turnTimeout),
+		backoff: map[string]time.Time{}, scores: map[string]score{},
 	}
-	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), known)
+	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), p.loads.On)
 	p.plan.HearFailures(opts.Failures)
 	return p
 }
 
-// Ask gets the turn of a copy from the instance that plans the links of the
-// engine's service in its availability zone.
+// Ask gets the turn of a copy from the instance that plans for the group of the
+// engine that leaves.
 func (p *Planner) Ask(ctx context.Context, l Leaving) (Turn, error) {
-	address, ok := p.planner(l.Service + "/" + l.Zone)
+	l.By = p.opts.Self
+	from := observed.Server{Server: dialect.Server{ID: l.Engine, Zone: l.Zone}}
+	address, ok := p.planner(groupKey(p.opts.State.Servers(l.Service), l.Service, &from), 0)
 	if !ok {
 		return Turn{}, ErrUnavailable
 	}
@@ -154,9 +161,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
-	client := connect.NewClient[Leaving, Turn](p.client, "http://"+address+turnProcedure, connect.WithCodec(gossip.PlainJSON{}))
+	client := connect.NewClient[Leaving, Turn](p.caller.HTTP, "http://"+address+turnProcedure, peerrpc.ClientOptions()...)
 	req := connect.NewRequest(&l)
-	p.sign(req.Header(), turnProcedure)
+	p.caller.Sign(p.opts.Now(), req.Header(), turnProcedure)
 	res, err := client.CallUnary(ctx, req)
 	if err != nil {
 		return Turn{}, p.failed(address, err)
@@ -166,69 +173,84 @@
 
 // Place gets the engine that a generation begins on. Where the engines of one
 // group are full, those of the next are asked for.
-//
-// Load: more generations than some groups have room for, while others have.
-// Harm: those that found their group full were placed by what their instance had
-// heard of a few engines drawn at random, seconds ago; they waited in queues for
-// seconds beside engines with room.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
 	r.By = p.opts.Self
-	groups := groupsOf(len(p.opts.State.Servers(r.Service)))
-	first := groupOf(r.Request, groups)
-	for i := range min(groups, maxGroups) {
-		r.Group = (first + i) % groups
-		if engine, err := p.placeIn(ctx, r); !errors.Is(err, ErrFull) {
-			return engine, err
+	groups := p.inOrder(p.opts.Now(), groupsOf(p.opts.State.Servers(r.Service), r.Service), r.Zone, r.Request)
+	err := ErrUnavailable
+	for _, g := range groups[:min(len(groups), maxGroups)] {
+		r.Group = g.key
+		var placed Placed
+		if placed, err = p.placeIn(ctx, r); err == nil {
+			p.noteScore(g.key, p.opts.Now(), placed.Score)
+			return placed.Engine, nil
 		}
+		p.noteScore(g.key, p.opts.Now(), fullScore)
 	}
-	return "", merry.Wrap(ErrFull)
+	return "", err
 }
 
-// placeIn asks for an engine of one group.
-func (p *Planner) placeIn(ctx context.Context, r Placing) (string, error) {
-	address, ok := p.planner(r.Service + "#" + strconv.Itoa(r.Group))
-	if !ok {
-		return "", ErrUnavailable
+// fullScore is the score of a group without room or without a planner.
+const fullScore = 10
+
+// placeIn asks for an engine of one group. Where the instance that plans for it
+// doesn't answer, the next one is asked, once.
+func (p *Planner) placeIn(ctx context.Context, r Placing) (Placed, error) {
+	for owner := range maxOwners {
+		address, ok := p.planner(r.Group, owner)
+		if !ok {
+			continue
+		}
+		placed, err := p.placeAt(ctx, address, r)
+		if err == nil || errors.Is(err, ErrFull) {
+			return placed, err
+		}
 	}
+	return Placed{}, ErrUnavailable
+}
+
+func (p *Planner) placeAt(ctx context.Context, address string, r Placing) (Placed, error) {
 	if address == "" {
-		placed, err := p.begin(r, true)
-		return placed.Engine, err
+		return p.begin(r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	client := connect.NewClient[Placing, Placed](p.client, "http://"+address+placeProcedure, connect.WithCodec(gossip.PlainJSON{}))
+	client := connect.NewClient[Placing, Placed](p.caller.HTTP, "http://"+address+placeProcedure, peerrpc.ClientOptions()...)
 	req := connect.NewRequest(&r)
-	p.sign(req.Header(), placeProcedure)
+	p.caller.Sign(p.opts.Now(), req.Header(), placeProcedure)
 	res, err := client.CallUnary(ctx, req)
 	if err != nil {
-		return "", p.failed(address, err)
+		return Placed{}, p.failed(address, err)
 	}
-	return res.Msg.Engine, nil
+	return *res.Msg, nil
 }
 
 // planner returns the address of the instance that plans for a key, nothing for
-// this one, and false while it rests.
-func (p *Planner) planner(key string) (string, bool) {
+// this one, and false while it isn't to be asked. The first owner is 0.
+func (p *Planner) planner(key string, owner int) (string, bool) {
 	now := p.opts.Now()
-	address := p.opts.Table.Planner(now, key)
+	owners := p.opts.Table.Owners(key, owner+1)
+	if len(owners) <= owner {
+		return "", owner == 0
+	}
+	if owners[owner].ID == p.opts.Self {
+		return "", true
+	}
+	address := owners[owner].Peer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return address, !now.Before(p.resting[address])
+	return address, !now.Before(p.backoff[address])
 }
 
-// failed notes that a planner didn't answer.
-//
-// The failure: an instance dies, or a link goes silent, and for seconds nobody
-// knows. Each generation would wait for it first. It is left alone for a while,
-// and asked on a new connection afterwards, as the kept one may be what is lost.
+// failed notes that a planner didn't answer: it isn't asked for a while, and on a
+// new connection afterwards, as the kept one may be what is lost.
 func (p *Planner) failed(address string, err error) error {
 	if connect.CodeOf(err) == connect.CodeResourceExhausted {
 		return merry.Wrap(ErrFull, merry.WithCause(err))
 	}
 	p.mu.Lock()
-	p.resting[address] = p.opts.Now().Add(restAfter)
+	p.backoff[address] = p.opts.Now().Add(restAfter)
 	p.mu.Unlock()
-	p.client.CloseIdleConnections()
+	p.caller.Drop()
 	p.opts.Log.Info().Str("peer", address).Err(err).Msg("planner doesn't answer")
 	return merry.Wrap(ErrUnavailable, merry.WithCause(err))
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -16,7 +16,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
-	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/routes"
@@ -25,10 +25,14 @@
 // one is an instance's planner, with the address where others reach it.
 type one struct {
 	*Planner
-	table   *gossip.Table
+	table   *membership.Table
 	address string
 }
 
+func ready(id, address string) membership.Record {
+	return membership.Record{ID: id, Peer: address, Zone: "zone-0", Started: 1, Status: membership.Status{Ready: true}}
+}
+
 func engineList(n int) []dialect.Server {
 	out := make([]dialect.Server, n)
 	for i := range out {
@@ -58,10 +62,10 @@
 		Name: "llm", Engine: &routes.Engine{Slots: 24, MemoryTokens: 34000, TokenBytes: 163840, LinkMbps: 24000, Moves: true, TokensPerEvent: 4},
 	}}}, nil)
 	state.ReplaceServers(time.Now(), 1, engines)
-	table := gossip.NewTable(gossip.Record{ID: id, Peer: address, Zone: "zone-0", Started: 1, Ready: true})
+	table := membership.NewTable(ready(id, address))
 	opts := Options{
 		Self: id, Table: table, Key: key, State: state, Bounds: balancer.Bounds{ColdOverage: 1.5, ColdSlack: 5},
-		Own: func(string) gossip.Load { return gossip.Load{} }, Failures: func(time.Time, string) float64 { return 0 },
+		Own: func() map[string]balancer.Load { return nil }, Failures: func(time.Time, string) float64 { return 0 },
 		Log: zerolog.Nop(), Now: time.Now,
 	}
 	change(&opts)
@@ -72,7 +76,7 @@
 	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { p.client.CloseIdleConnections(); _ = server.Close() })
+	t.Cleanup(func() { p.caller.Drop(); _ = server.Close() })
 	return one{p, table, address}
 }
 
@@ -81,8 +85,8 @@
 func TestInstancesShareOnePlan(t *testing.T) {
 	a, b := startOne(t, "a", "k", engineList(12)), startOne(t, "b", "k", engineList(12))
 	now := time.Now()
-	a.table.Merge(now, b.table.Records(now))
-	b.table.Merge(now, a.table.Records(now))
+	a.table.Merge(now, b.table.All(now))
+	b.table.Merge(now, a.table.All(now))
 	per := map[string]int{}
 	for i := range 12 {
 		asker := []one{a, b}[i%2]
@@ -115,8 +119,8 @@
 func TestInstancesShareALink(t *testing.T) {
 	a, b := startOne(t, "a", "k", engineList(12)), startOne(t, "b", "k", engineList(12))
 	now := time.Now()
-	a.table.Merge(now, b.table.Records(now))
-	b.table.Merge(now, a.table.Records(now))
+	a.table.Merge(now, b.table.All(now))
+	b.table.Merge(now, a.table.All(now))
 	turns := make(chan Turn, 8)
 	for i := range 8 {
 		go func() {
@@ -151,13 +155,13 @@
 	for name, address := range tests {
 		t.Run(name, func(t *testing.T) {
 			a := startOne(t, "a", "k", engineList(3))
-			a.table.SetReady(false)
-			a.table.Merge(time.Now(), []gossip.Record{{ID: "x", Peer: address(t), Ready: true, Started: 1, Beat: 1}})
+			a.table.Set(time.Now(), membership.Status{})
+			a.table.Merge(time.Now(), []membership.Record{ready("x", address(t))})
 			for range 3 {
 				_, err := a.Place(t.Context(), Placing{Request: "1", Service: "llm", Prompt: 3000, Need: 4000})
 				require.ErrorIs(t, err, ErrUnavailable)
 			}
-			require.Len(t, a.resting, 1)
+			require.Len(t, a.backoff, 1)
 		})
 	}
 }
@@ -187,35 +191,6 @@
 	}
 }
 
-// What a planner has given out is forgotten once others tell of it: not before,
-// or it gives the same room out twice.
-func TestNewsTime(t *testing.T) {
-	tests := map[string]struct {
-		instances int
-		want      time.Duration
-	}{"alone": {1, 400 * time.Millisecond}, "seven": {7, 1200 * time.Millisecond}, "81": {81, 2 * time.Second}, "350": {350, 2800 * time.Millisecond}}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, gossip.NewsTime(tt.instances)) })
-	}
-}
-
-// Every engine is in one group, and groups are small enough to be planned for.
-func TestGroupsHoldAllEngines(t *testing.T) {
-	for _, n := range []int{1, 12, 48, 2000} {
-		list := make([]observed.Server, n)
-		for i := range list {
-			list[i].ID = fmt.Sprintf("engine-%d", i)
-		}
-		total, most := 0, 0
-		for g := range groupsOf(n) {
-			size := len(inGroup(list, g))
-			total, most = total+size, max(most, size)
-		}
-		require.Equal(t, n, total)
-		require.LessOrEqual(t, most, 2*groupSize)
-	}
-}
-
 // played is what callers got in a minute of load.
 type played struct{ requests, late int }
 
@@ -255,9 +230,9 @@
 	begin := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
 	var all []placed
 	// heard is what an instance knows of the others' generations.
-	heard := func(me int) func(time.Time, string) gossip.Load {
-		return func(now time.Time, id string) gossip.Load {
-			var l gossip.Load
+	heard := func(me int) func(time.Time, string) balancer.Load {
+		return func(now time.Time, id string) balancer.Load {
+			var l balancer.Load
 			for _, p := range all {
 				if (planned || p.by != me) && p.engine == id && now.Sub(p.at) > lag && now.Sub(p.at) < stays {
 					l.Running++
--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -8,92 +8,145 @@
 
 	"github.com/stretchr/testify/require"
 
-	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
-// The engines of one group are full, those of the other have room. A generation
-// whose turn it is in the full one begins in the other. Where all are full the
-// asker is told so, and can wait; where none would ever have room it needn't.
+// Guards against placing on a full group while another has room, and against
+// asking callers to wait where no engine is large enough.
 func TestFullGroupIsPassedOver(t *testing.T) {
 	const engines, measure = 48, 34000
-	groups := groupsOf(engines)
-	require.Equal(t, 2, groups)
 	tests := map[string]struct {
-		used func(id string) int
+		used func(zone string) int
 		need int
 		want error
 	}{
-		"one group has room":      {func(id string) int { return measure * (1 - groupOf(id, groups)) }, 4000, nil},
+		"one group has room": {func(zone string) int {
+			if zone == "zone-2" {
+				return 0
+			}
+			return measure
+		}, 4000, nil},
 		"none has":                {func(string) int { return measure }, 4000, ErrFull},
 		"larger than any of them": {func(string) int { return 0 }, 2 * measure, ErrUnavailable},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			a := startWith(t, "a", "k", engineList(engines), func(o *Options) {
-				o.Own = func(id string) gossip.Load { return gossip.Load{Running: 1, Tokens: tt.used(id)} }
-			})
-			asked := 0
-			for i := 0; asked < 4; i++ {
-				request := fmt.Sprint("r", i)
-				if groupOf(request, groups) != 0 {
-					continue
-				}
-				asked++
-				engine, err := a.Place(t.Context(), Placing{Request: request, Service: "llm", Zone: "zone-0", Prompt: 3000, Need: tt.need})
+			list := engineList(engines)
+			a := startWith(t, "a", "k", list, func(*Options) {})
+			loads := map[string]balancer.Load{}
+			for _, e := range list {
+				loads[e.ID] = balancer.Load{Running: 1, Tokens: tt.used(e.Zone)}
+			}
+			a.loads.Take(time.Now(), Report{By: "b", Started: 1, Sequence: 1, Loads: loads})
+			for i := range 4 {
+				engine, err := a.Place(t.Context(), Placing{Request: fmt.Sprint("r", i), Service: "llm", Zone: "zone-0", Prompt: 3000, Need: tt.need})
 				if tt.want != nil {
 					require.ErrorIs(t, err, tt.want)
 					continue
 				}
 				require.NoError(t, err)
-				require.Equal(t, 1, groupOf(engine, groups))
+				server, ok := a.opts.State.Server(engine)
+				require.True(t, ok)
+				require.Equal(t, "zone-2", server.Zone)
 			}
 		})
 	}
 }
 
-// What was given out counts until the instance that got it has told of it, which
-// it does with its second count at the latest, or until news would have come.
-func TestGivenCountsUntilTold(t *testing.T) {
+// Guards against a zone whose callers crowd its own engines while those of other
+// zones stand idle, and against crossing zones without need.
+func TestZonesShareTheirLoad(t *testing.T) {
+	const engines = 96
+	tests := map[string]struct{ requests, foreignLeast, foreignMost int }{
+		"light": {16, 0, 2},
+		"heavy": {240, 100, 180},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			a := startWith(t, "a", "k", engineList(engines), func(o *Options) { o.Now = func() time.Time { return now } })
+			foreign := 0
+			for i := range tt.requests {
+				now = now.Add(10 * time.Millisecond)
+				id, err := a.Place(t.Context(), Placing{Request: fmt.Sprint("r", i), Service: "llm", Zone: "zone-0", Prompt: 3000, Need: 4000})
+				require.NoError(t, err)
+				if server, _ := a.opts.State.Server(id); server.Zone != "zone-0" {
+					foreign++
+				}
+			}
+			require.GreaterOrEqual(t, foreign, tt.foreignLeast)
+			require.LessOrEqual(t, foreign, tt.foreignMost)
+		})
+	}
+}
+
+func TestGroupsHoldAllEngines(t *testing.T) {
+	for _, n := range []int{1, 12, 48, 97, 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			a := startOne(t, "a", "k", engineList(n))
+			list := a.opts.State.Servers("llm")
+			total := 0
+			for _, g := range groupsOf(list, "llm") {
+				total += len(g.engines)
+				require.LessOrEqual(t, len(g.engines), 2*groupSize)
+				for i := range g.engines {
+					require.Equal(t, g.key, groupKey(list, "llm", &g.engines[i]))
+				}
+			}
+			require.Equal(t, n, total)
+		})
+	}
+}
+
+// Guards against an assignment that counts twice once it is reported, or not at
+// all before.
+func TestAssignmentCountsUntilReported(t *testing.T) {
 	tests := map[string]struct {
-		beat    int64
-		started int64
-		after   time.Duration
-		counts  bool
+		report *Report
+		after  time.Duration
+		want   int
 	}{
-		"nothing heard":     {beat: 5, started: 1, counts: true},
-		"the next count":    {beat: 6, started: 1, counts: true},
-		"the one after":     {beat: 7, started: 1, counts: false},
-		"it has restarted":  {beat: 9, started: 2, counts: true},
-		"news has had time": {beat: 5, started: 1, after: gossip.NewsTime(2), counts: false},
+		"not reported":               {nil, time.Second, 1},
+		"reported with it":           {&Report{By: "b", Started: 1, Sequence: 2, Loads: map[string]balancer.Load{"e0": {Running: 1, Tokens: 4000}}}, reportSettles, 1},
+		"reported after it ended":    {&Report{By: "b", Started: 1, Sequence: 2}, reportSettles, 0},
+		"a report on its way":        {&Report{By: "b", Started: 1, Sequence: 2}, reportSettles / 2, 1},
+		"an older report":            {&Report{By: "b", Started: 1, Sequence: 0}, reportSettles, 1},
+		"of an earlier process":      {&Report{By: "b", Started: 0, Sequence: 9}, reportSettles, 1},
+		"of another instance":        {&Report{By: "c", Started: 1, Sequence: 1}, reportSettles, 1},
+		"nothing follows":            {nil, assignmentTTL, 0},
+		"a report that ends in time": {&Report{By: "b", Started: 1, Sequence: 2, Loads: map[string]balancer.Load{"e0": {Running: 3}}}, reportSettles, 3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := start
-			a := startWith(t, "a", "k", engineList(1), func(o *Options) { o.Now = func() time.Time { return now } })
-			record := gossip.Record{ID: "b", Started: 1, Beat: 5, Ready: true}
-			a.table.Merge(now, []gossip.Record{record})
-			_, err := a.begin(Placing{Service: "llm", By: "b", Need: 4000}, false)
-			require.NoError(t, err)
-			record.Beat, record.Started = tt.beat, tt.started
-			now = now.Add(tt.after)
-			a.table.Merge(now, []gossip.Record{record})
-			a.forgetTold(now)
-			require.Equal(t, tt.counts, a.plan.On("e0").Running == 1)
+			l := NewLoads()
+			l.Take(start, Report{By: "b", Started: 1, Sequence: 1})
+			l.Assign(start, "b", "e0", 4000)
+			require.Equal(t, balancer.Load{Running: 1, Tokens: 4000}, l.On(start, "e0"))
+			now := start.Add(tt.after)
+			if tt.report != nil {
+				l.Take(now, *tt.report)
+			}
+			require.Equal(t, tt.want, l.On(now, "e0").Running)
 		})
 	}
 }
 
-// Seventy-eight instances place thirty generations a second on a group of twenty
-// engines that are seven tenths full; news of what each has placed takes up to
-// two seconds. What was told and is still counted as given out makes the engines
-// look full: callers would be placed without a plan, or refused, beside room.
+// Guards against counting for ever what an instance had that has gone.
+func TestReportsEnd(t *testing.T) {
+	l := NewLoads()
+	l.Take(start, Report{By: "b", Started: 1, Sequence: 1, Loads: map[string]balancer.Load{"e0": {Running: 2, Tokens: 8000}}})
+	require.Equal(t, 2, l.On(start.Add(reportEvery), "e0").Running)
+	require.Zero(t, l.On(start.Add(reportTTL), "e0"))
+}
+
+// Guards against engines that look full beside room: 78 instances place thirty
+// generations a second on twenty engines that are seven tenths full.
 func TestRoomIsNotCountedTwice(t *testing.T) {
 	const (
 		instances, engines = 78, 20
 		second             = int64(time.Second)
 		perSecond          = 29
-		period             = 400 * time.Millisecond
 		most               = 0.80
 	)
 	rng := rand.New(rand.NewPCG(11, 12))
@@ -109,28 +162,27 @@
 	}
 	type news struct {
 		at     time.Time
-		record gossip.Record
+		report Report
 	}
 	var runs []run
 	var coming []news
-	beats := make([]int64, instances)
-	loads := func(i int) map[string]gossip.Load {
-		out := map[string]gossip.Load{}
+	sequences := make([]int64, instances)
+	loads := func(i int) map[string]balancer.Load {
+		out := map[string]balancer.Load{}
 		for _, r := range runs {
 			if r.by == i && now.Before(r.until) {
-				out[r.engine] = out[r.engine].Plus(gossip.Load{Running: 1, Tokens: r.tokens})
+				out[r.engine] = out[r.engine].Plus(balancer.Load{Running: 1, Tokens: r.tokens})
 			}
 		}
 		return out
 	}
 	asked, refused := 0, 0
-	for step := time.Duration(0); step < 30*time.Second; step += 20 * time.Millisecond {
+	for step := time.Duration(0); step < 30*time.Second; step += 10 * time.Millisecond {
 		now = start.Add(step)
 		for i := range instances {
-			if (step+time.Duration(i)*5*time.Millisecond)%period < 20*time.Millisecond {
-				beats[i]++
-				record := gossip.Record{ID: fmt.Sprint("i", i), Started: 1, Beat: beats[i], Ready: true, Load: loads(i)}
-				coming = append(coming, news{now.Add(time.Duration(second/2 + rng.Int64N(second))), record})
+			if (step+time.Duration(i)*5*time.Millisecond)%reportCheck < 10*time.Millisecond {
+				sequences[i]++
+				coming = append(coming, news{now.Add(time.Duration(rng.Int64N(second / 10))), Report{By: fmt.Sprint("i", i), Started: 1, Sequence: sequences[i], Loads: loads(i)}})
 			}
 		}
 		var later []news
@@ -139,10 +191,10 @@
 				later = append(later, n)
 				continue
 			}
-			a.table.Merge(now, []gossip.Record{n.record})
+			a.loads.Take(now, n.report)
 		}
 		coming = later
-		if rng.Float64() > perSecond*0.02 {
+		if rng.Float64() > perSecond*0.01 {
 			continue
 		}
 		tokens, stays := 3900, time.Duration(rng.Int64N(15*second))
@@ -160,7 +212,7 @@
 		}
 		by := rng.IntN(instances)
 		asked++
-		placed, err := a.begin(Placing{Service: "llm", By: fmt.Sprint("i", by), Need: tokens, Prompt: tokens - 800, Zone: "zone-0"}, false)
+		placed, err := a.begin(Placing{Service: "llm", Group: "llm", By: fmt.Sprint("i", by), Need: tokens, Prompt: tokens - 800, Zone: "zone-0"})
 		if err != nil {
 			refused++
 			continue
--- a/internal/planner/schedule.go
+++ b/internal/planner/schedule.go
@@ -22,8 +22,10 @@
 
 // Copy is one copy that is to be given its turn.
 type Copy struct {
-	// Run is the id of the generation, From the engine that it leaves.
+	// Run is the id of the generation, By the instance that relays it, From the
+	// engine that it leaves.
 	Run  string
+	By   string
 	From string
 	// Tokens are in memory now.
 	Tokens int
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -39,8 +39,14 @@
 	// the ratio of all requests of a service, and the slack at once.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
-	Log        Log     `json:"log"`
-	Trace      Trace   `json:"trace"`
+	// ConfigurationMillis, DrainMillis and EvacuationMillis are the times in
+	// which a configuration, a server that leaves and a zone taken out are to be
+	// in force everywhere; 0 for the default, see observed.DefaultBounds.
+	ConfigurationMillis float64 `json:"configurationMillis"`
+	DrainMillis         float64 `json:"drainMillis"`
+	EvacuationMillis    float64 `json:"evacuationMillis"`
+	Log                 Log     `json:"log"`
+	Trace               Trace   `json:"trace"`
 }
 
 // leastMemory is what an instance with nothing to do needs, in megabytes.
@@ -104,6 +110,7 @@
 	}{
 		{"graceSeconds", s.GraceSeconds}, {"coldOverage", s.ColdOverage}, {"coldSlack", s.ColdSlack},
 		{"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack},
+		{"configurationMillis", s.ConfigurationMillis}, {"drainMillis", s.DrainMillis}, {"evacuationMillis", s.EvacuationMillis},
 	} {
 		if f.value < 0 {
 			c.add(f.path, "must not be negative")
