Work out owners, ranks and branches once per change of the records

Cause, read in the code: each placing, report, check of a turn and message sorted or hashed all records, some hundred times a second at 295 instances. Change: what is worked out from the records is kept until one of them changes.

--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -26,11 +26,7 @@
 
 // seed draws a seed that no known instance has the address of.
 func (g *Gossip) seed(rng *rand.Rand) (string, bool) {
-	known := map[string]bool{g.opts.Table.Self().Peer: true}
-	for _, r := range g.opts.Table.All(g.opts.Now()) {
-		known[r.Peer] = true
-	}
-	unknown := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return known[s] })
+	unknown := slices.DeleteFunc(slices.Clone(g.opts.Seeds), g.opts.Table.Has)
 	if len(unknown) == 0 {
 		return "", false
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -69,8 +70,8 @@
 	Down bool `json:"down,omitempty"`
 }
 
-func rank(down bool) int {
-	if down {
+func bit(b bool) int {
+	if b {
 		return 1
 	}
 	return 0
@@ -80,7 +81,7 @@
 // change, then the mark that it is down.
 func (r *Record) newer(than *Record) bool {
 	return cmp.Or(
-		cmp.Compare(r.Started, than.Started), cmp.Compare(r.Change, than.Change), cmp.Compare(rank(r.Down), rank(than.Down)),
+		cmp.Compare(r.Started, than.Started), cmp.Compare(r.Change, than.Change), cmp.Compare(bit(r.Down), bit(than.Down)),
 	) > 0
 }
 
@@ -99,11 +100,35 @@
 	order []string
 	// synced is when all records were last exchanged.
 	synced time.Time
+	// derived is what was worked out from the records since they last changed.
+	derived derived
+}
+
+// derived holds answers that many requests ask for and that depend on nothing but
+// the records.
+type derived struct {
+	owners   map[string][]Record
+	ranks    map[string]place
+	children map[string][]Record
+	digest   uint64
+}
+
+// place is the rank of this instance, and whether another one is blind.
+type place struct {
+	rank  int
+	blind bool
+}
+
+// alter forgets what was worked out from the records before.
+func (t *Table) alter() { t.derived = newDerived() }
+
+func newDerived() derived {
+	return derived{owners: map[string][]Record{}, ranks: map[string]place{}, children: map[string][]Record{}}
 }
 
 // NewTable returns a table that knows only its own instance.
 func NewTable(self Record) *Table {
-	return &Table{self: entry{Record: self}, rest: map[string]*entry{}}
+	return &Table{self: entry{Record: self}, rest: map[string]*entry{}, derived: newDerived()}
 }
 
 // Set changes the record of this instance and reports whether it differs.
@@ -116,6 +141,7 @@
 	t.self.Status = s
 	t.self.Change++
 	t.self.changed = now
+	t.alter()
 	return true
 }
 
@@ -151,16 +177,18 @@
 		t.rest[r.ID] = &entry{Record: *r, changed: now}
 		changed = append(changed, *r)
 	}
-	t.forget(now)
+	if t.forget(now) || len(changed) > 0 {
+		t.alter()
+	}
 	return changed
 }
 
-func (t *Table) forget(now time.Time) {
-	for id, e := range t.rest {
-		if e.Down && now.Sub(e.changed) > forgetAfter {
-			delete(t.rest, id)
-		}
-	}
+// forget drops instances that have been down for long, and reports whether any
+// was.
+func (t *Table) forget(now time.Time) bool {
+	n := len(t.rest)
+	maps.DeleteFunc(t.rest, func(_ string, e *entry) bool { return e.Down && now.Sub(e.changed) > forgetAfter })
+	return len(t.rest) != n
 }
 
 // MarkDown notes that an instance answered nobody who tried since it had this
@@ -173,6 +201,7 @@
 		return Record{}, false
 	}
 	e.Down, e.changed = true, now
+	t.alter()
 	return e.Record, true
 }
 
@@ -201,6 +230,21 @@
 	return out
 }
 
+// Has reports whether an instance has this peer address.
+func (t *Table) Has(peer string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.Peer == peer {
+		return true
+	}
+	for _, e := range t.rest {
+		if e.Peer == peer {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns the records of all instances but those that have been down for
 // some time, whose news mustn't go round for ever.
 func (t *Table) All(now time.Time) []Record {
@@ -325,12 +369,16 @@
 }
 
 func (t *Table) digest() uint64 {
+	if t.derived.digest != 0 {
+		return t.derived.digest
+	}
 	sum := digestOf(&t.self.Record)
 	for _, e := range t.rest {
 		if !e.Down {
 			sum += digestOf(&e.Record)
 		}
 	}
+	t.derived.digest = sum
 	return sum
 }
 
@@ -388,6 +436,18 @@
 func (t *Table) Owners(key string, n int) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	owners, ok := t.derived.owners[key]
+	if !ok {
+		owners = t.owners(key)
+		t.derived.owners[key] = owners
+	}
+	return owners[:min(n, len(owners))]
+}
+
+// maxOwners is how many owners of a key are remembered.
+const maxOwners = 3
+
+func (t *Table) owners(key string) []Record {
 	type owner struct {
 		record *Record
 		weight uint64
@@ -403,8 +463,8 @@
 		add(&e.Record)
 	}
 	slices.SortFunc(owners, func(a, b owner) int { return cmp.Compare(b.weight, a.weight) })
-	out := make([]Record, 0, n)
-	for _, o := range owners[:min(n, len(owners))] {
+	out := make([]Record, 0, maxOwners)
+	for _, o := range owners[:min(maxOwners, len(owners))] {
 		out = append(out, *o.record)
 	}
 	return out
@@ -415,9 +475,19 @@
 // Rank returns the place of this instance, for a key, among those that run: those
 // that reach the platform before those that don't. Blind reports whether one of
 // the others doesn't reach it.
-func (t *Table) Rank(key string) (place int, blind bool) {
+func (t *Table) Rank(key string) (rank int, blind bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p, ok := t.derived.ranks[key]
+	if !ok {
+		p = t.rankOf(key)
+		t.derived.ranks[key] = p
+	}
+	return p.rank, p.blind
+}
+
+func (t *Table) rankOf(key string) place {
+	var p place
 	own := weight(key, t.self.ID)
 	class := func(s Status) int {
 		switch {
@@ -432,11 +502,11 @@
 		if e.Down {
 			continue
 		}
-		blind = blind || e.Blind
+		p.blind = p.blind || e.Blind
 		c := cmp.Or(cmp.Compare(class(e.Status), class(t.self.Status)), cmp.Compare(own, weight(key, id)))
 		if c < 0 {
-			place++
+			p.rank++
 		}
 	}
-	return place, blind
+	return p
 }
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -21,6 +21,16 @@
 func (t *Table) ChildrenOf(origin, id string) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	key := origin + "\n" + id
+	children, ok := t.derived.children[key]
+	if !ok {
+		children = t.children(origin, id)
+		t.derived.children[key] = children
+	}
+	return children
+}
+
+func (t *Table) children(origin, id string) []Record {
 	r, ok := t.record(id)
 	if !ok {
 		return nil
