Have one duty of an instance try a failing platform

Change: while calls fail, one kind tries at a time, with one backoff. Test: TestOneDutyTriesFailingPlatform.

--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -37,7 +37,7 @@
 	// watchers is how many instances watch a kind of objects for all.
 	watchers = 2
 	// turnCheck is how often an instance looks whether it is to watch.
-	turnCheck = 100 * time.Millisecond
+	turnCheck = 50 * time.Millisecond
 	// startDelay lets an instance that starts hear of more others than the one
 	// that it joined, who may know all that it would read; joinMost is how long it
 	// waits to join.
@@ -81,6 +81,9 @@
 	failed  int
 	failing time.Time
 	failure time.Time
+	// backoff and next say when the platform is tried again while it fails.
+	backoff objectapi.Backoff
+	next    time.Time
 }
 
 // NewFollower returns a follower that is ready to run.
@@ -94,7 +97,7 @@
 	if opts.Announce == nil {
 		opts.Announce = func() {}
 	}
-	return &Follower{opts: opts, started: opts.Now()}
+	return &Follower{opts: opts, started: opts.Now(), backoff: objectapi.Backoff{Min: retryLeast, Max: retryMost}}
 }
 
 // Blind reports whether the platform has failed to answer this instance for some
@@ -154,7 +157,6 @@
 	if f.join(ctx) != nil {
 		return
 	}
-	backoff := objectapi.Backoff{Min: retryLeast, Max: retryMost}
 	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
 	watching, list := false, true
 	for ctx.Err() == nil {
@@ -168,18 +170,20 @@
 			}
 			continue
 		}
+		if !f.mayTry(f.opts.Now()) {
+			if objectapi.Pause(ctx, turnCheck) != nil {
+				return
+			}
+			continue
+		}
 		version, _ := f.opts.State.Version(one.part)
 		if list || version == 0 || one.part == Configuration {
 			var err error
 			if version, err = f.read(ctx, one, &patience); err != nil {
-				if objectapi.Pause(ctx, backoff.Fail()) != nil {
-					return
-				}
 				continue
 			}
 			f.opts.Announce()
 		}
-		backoff.Reset()
 		list = f.watch(ctx, one, version, &patience)
 	}
 }
@@ -200,6 +204,21 @@
 	return ctx.Err()
 }
 
+// mayTry reports whether the platform may be called: while it fails, one kind of
+// objects tries for all.
+func (f *Follower) mayTry(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed == 0 {
+		return true
+	}
+	if now.Before(f.next) {
+		return false
+	}
+	f.next = now.Add(retryMost)
+	return true
+}
+
 // turn reports whether this instance is to watch a kind for all.
 func (f *Follower) turn(one *follow) bool {
 	rank, _ := f.opts.Rank(one.kind)
@@ -294,7 +313,7 @@
 		f.opts.Log.Warn().Str("kind", one.kind).Err(err).Msg("platform lost")
 	}
 	f.failed++
-	f.failure = now
+	f.failure, f.next = now, now.Add(f.backoff.Fail())
 	f.opts.State.Lost(now)
 }
 
@@ -306,6 +325,7 @@
 	}
 	f.opts.Log.Info().Int("failedCalls", f.failed).Msg("platform regained")
 	f.failed = 0
+	f.backoff.Reset()
 	f.opts.State.Returned(f.opts.Now())
 }
 
--- a/internal/observed/refresh_test.go
+++ b/internal/observed/refresh_test.go
@@ -151,6 +151,24 @@
 	require.False(t, a.Behind(b.Versions(now)))
 }
 
+// Guards against calls to a platform that fails by each duty of an instance.
+func TestOneDutyTriesFailingPlatform(t *testing.T) {
+	now := start
+	f := NewFollower(Options{State: NewState(), Log: zerolog.Nop(), Now: func() time.Time { return now }})
+	tries := 0
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(turnCheck) {
+		for range 3 {
+			if f.mayTry(now) {
+				tries++
+				f.lost(now, refreshes(), nil)
+			}
+		}
+	}
+	require.LessOrEqual(t, tries, 45)
+	f.regained()
+	require.True(t, f.mayTry(now))
+}
+
 // An instance that the platform doesn't answer leaves the watch to others, and
 // tries again after a while.
 func TestBlindInstanceSaysSo(t *testing.T) {
