Read at once after a start what nobody tells, and serve once zones are known

Found on the way, in the code: configuration and servers come by different duties than the zones taken out, and requests were served before the zones were known. Change: an instance that starts reads what it wasn't told within 0.1 to 0.5 s, a seed at once; it takes no turn to watch for 0.7 s; it is ready once all parts are known; a seed that is asked by one that knows more fetches it. Test: TestStartingInstanceWaitsForZones, which the code before fails.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -95,8 +95,8 @@
 	published published
 	syncing   atomic.Bool
 	urgent    pending
-	joined    chan struct{}
-	join      sync.Once
+	// joined is set once another instance has told what it knows.
+	joined atomic.Bool
 }
 
 // New returns a gossip that is ready to run.
@@ -111,13 +111,10 @@
 	self := opts.Table.Self().ID
 	return &Gossip{
 		opts: opts, self: self, caller: peerrpc.NewCaller(opts.Key, self, probeTimeout), calls: calls, seen: newSeen(),
-		wake: make(chan struct{}, 1), joined: make(chan struct{}),
+		wake: make(chan struct{}, 1),
 	}, nil
 }
 
-// Joined is closed once another instance has told what it knows.
-func (g *Gossip) Joined() <-chan struct{} { return g.joined }
-
 // Announce has all instances told of what this one knows of the platform and of
 // itself. It doesn't wait.
 func (g *Gossip) Announce() {
@@ -152,7 +149,7 @@
 		now := g.opts.Now()
 		g.refresh(now)
 		pause := probePeriod
-		if !g.hasJoined() {
+		if !g.joined.Load() || !g.opts.State.Known() {
 			g.joinSeeds(ctx)
 			if now.Sub(started) < joinFast {
 				pause = joinEvery
@@ -167,15 +164,6 @@
 	g.caller.Drop()
 }
 
-func (g *Gossip) hasJoined() bool {
-	select {
-	case <-g.joined:
-		return true
-	default:
-		return false
-	}
-}
-
 // submit runs a call to another instance beside others. With all of them busy
 // the call isn't made: probes and news come again.
 func (g *Gossip) submit(kind string, call func()) {
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -40,7 +40,7 @@
 	}
 	now = g.opts.Now()
 	g.merge(now, m.Records)
-	g.join.Do(func() { close(g.joined) })
+	g.joined.Store(true)
 	if m.Update == nil {
 		return
 	}
@@ -52,7 +52,7 @@
 
 // answerSync returns the records that the sender lacks, where it tells its own,
 // and what it lacks of the platform.
-func (g *Gossip) answerSync(_ context.Context, m *Message) *Message {
+func (g *Gossip) answerSync(ctx context.Context, m *Message) *Message {
 	now := g.opts.Now()
 	has := make(map[string]membership.Record, len(m.Records))
 	for _, r := range m.Records {
@@ -69,6 +69,9 @@
 	g.merge(now, m.Records)
 	answer := &Message{Records: lacks}
 	if m.Versions != nil {
+		if r, ok := g.opts.Table.Get(m.From); ok && g.opts.State.Behind(*m.Versions) {
+			g.fetch(context.WithoutCancel(ctx), r.Peer)
+		}
 		u := g.opts.State.UpdateFor(now, *m.Versions)
 		answer.Update = &u
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -155,6 +155,7 @@
 	}
 	f.state.Configure(f.clock.now(), configuration(), nil)
 	f.state.ReplaceServers(f.clock.now(), 1, f.list)
+	f.state.ReplaceZones(f.clock.now(), 1, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
@@ -368,6 +369,22 @@
 	}
 }
 
+// Guards against a request to a zone that is taken out, by an instance that starts
+// and has the configuration and the servers, but not yet the zones.
+func TestStartingInstanceWaitsForZones(t *testing.T) {
+	f := start(t, map[string]http.Handler{"desk-1": &backend{how: answers(http.StatusOK)}})
+	known := f.opts.State
+	f.opts.State = observed.NewState()
+	f.opts.State.Configure(f.clock.now(), configuration(), nil)
+	f.opts.State.ReplaceServers(f.clock.now(), 1, f.list)
+	require.False(t, f.Ready())
+	require.Equal(t, http.StatusServiceUnavailable, f.send("GET", "/read/1", "").StatusCode)
+	f.opts.State.ReplaceZones(f.clock.now(), 2, []string{"zone-a"})
+	require.True(t, f.Ready())
+	f.opts.State = known
+	require.Equal(t, http.StatusOK, f.send("GET", "/read/1", "").StatusCode)
+}
+
 // An instance is closed before it has begun to serve. It must end all the same.
 func TestCloseBeforeRun(t *testing.T) {
 	f := start(t, nil)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -65,7 +65,7 @@
 // read matches a request to its route and workspace.
 func (s *Server) read(now time.Time, c *app.RequestContext) (*request, error) {
 	table := s.opts.State.Table()
-	if table == nil {
+	if table == nil || !s.opts.State.Known() {
 		return nil, s.unready()
 	}
 	r := &request{
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -210,7 +210,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (s *Server) Ready() bool { return s.opts.State.Table() != nil && !s.draining.Load() }
+func (s *Server) Ready() bool { return s.opts.State.Known() && !s.draining.Load() }
 
 // Drain fails readiness and has callers leave with their next answers.
 func (s *Server) Drain(now time.Time) {
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -71,6 +72,13 @@
 	// denyShare is the part of the time in which configurations are to be in force
 	// for which one that was confirmed may deny a request.
 	denyShare = 0.95
+	// startWait is how long others may take to tell an instance that starts what
+	// is in force, and firstStartWait the same where no callers come yet. Up to
+	// startSpread is added, so that what the first ones read reaches the others
+	// that start in the same moment.
+	startWait      = 100 * time.Millisecond
+	startSpread    = 400 * time.Millisecond
+	firstStartWait = time.Second
 	// maxAddresses is how many instances a caller is told of.
 	maxAddresses = 64
 	// settingsEvery is how often the settings file is looked at.
@@ -152,7 +160,7 @@
 	})
 	in.gossip, err = gossip.New(gossip.Options{
 		Table: in.table, State: in.state, Key: key,
-		Seeds:  strings.FieldsFunc(cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' }),
+		Seeds:  in.seeds(),
 		Status: in.status, Handlers: in.plans.Handlers(),
 		TakeRaw: func(now time.Time, value []byte, source string) { in.follow.TakeRaw(now, value, source) },
 		Log:     telemetry.Part(in.tel.Log, "peer"), Scope: in.tel.Metrics.SubScope("peer"), Now: time.Now,
@@ -162,7 +170,7 @@
 	}
 	in.follow = observed.NewFollower(observed.Options{
 		State: in.state, Objects: objects, Dialect: d, Log: telemetry.Part(in.tel.Log, "platform"), Now: time.Now,
-		Rank: in.table.Rank, Announce: in.gossip.Announce, Joined: in.gossip.Joined(), Bounds: boundsOf(cfg),
+		Rank: in.table.Rank, Announce: in.gossip.Announce, StartWait: in.startWait(), Bounds: boundsOf(cfg),
 	})
 	return in.buildServer(ctx, placing)
 }
@@ -181,6 +189,22 @@
 	return b
 }
 
+func (in *instance) seeds() []string {
+	return strings.FieldsFunc(in.cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// startWait is how long the instance waits to be told what is in force. Seeds
+// don't: the others ask them.
+func (in *instance) startWait() time.Duration {
+	switch {
+	case slices.Contains(in.seeds(), in.cfg.PeerAddress):
+		return 0
+	case in.cfg.FirstStart:
+		return firstStartWait
+	}
+	return startWait + time.Duration(rand.Int64N(int64(startSpread)))
+}
+
 // status is what other instances are told of this one.
 func (in *instance) status() membership.Status {
 	return membership.Status{Ready: in.server.Ready(), Leaving: in.server.Draining(), Blind: in.follow.Blind()}
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -38,11 +38,9 @@
 	watchers = 2
 	// turnCheck is how often an instance looks whether it is to watch.
 	turnCheck = 50 * time.Millisecond
-	// startDelay lets an instance that starts hear of more others than the one
-	// that it joined, who may know all that it would read; joinMost is how long it
-	// waits to join.
-	startDelay = 250 * time.Millisecond
-	joinMost   = 700 * time.Millisecond
+	// settleTime is how long an instance that starts hears of others before it
+	// takes a turn to watch.
+	settleTime = 700 * time.Millisecond
 	// blindAfter is how long calls fail until another instance is to watch, and
 	// blindFor how long this one leaves that to others then.
 	blindAfter = 500 * time.Millisecond
@@ -60,8 +58,9 @@
 	// objects for all, 0 for the first, and whether one of those that run isn't
 	// answered by the platform; nil means that there is no other.
 	Rank func(kind string) (rank int, blind bool)
-	// Joined, if set, is closed once others were heard of.
-	Joined <-chan struct{}
+	// StartWait is how long an instance that starts waits to be told what is in
+	// force before it reads by itself.
+	StartWait time.Duration
 	// Bounds are the times in which changes are to be in force; zero for the
 	// default ones.
 	Bounds Bounds
@@ -154,11 +153,11 @@
 // follow watches a kind while it is this instance's turn, from a list or from
 // what others have told.
 func (f *Follower) follow(ctx context.Context, one *follow) {
-	if f.join(ctx) != nil {
+	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
+	if f.start(ctx, one, &patience) != nil {
 		return
 	}
-	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
-	watching, list := false, true
+	watching, list := false, false
 	for ctx.Err() == nil {
 		if turn := f.turn(one); turn != watching {
 			watching = turn
@@ -188,20 +187,21 @@
 	}
 }
 
-// join waits until others can be known.
-func (f *Follower) join(ctx context.Context) error {
-	if f.opts.Joined == nil {
-		return ctx.Err()
+// start waits until others have told what is in force, or for as long as they may
+// take, and reads a kind that isn't known by then. Where that fails, it is left to
+// those whose turn it is.
+func (f *Follower) start(ctx context.Context, one *follow, patience *objectapi.Patience) error {
+	for !f.opts.State.Known() && f.opts.Now().Sub(f.started) < f.opts.StartWait {
+		if err := objectapi.Pause(ctx, turnCheck/2); err != nil {
+			return err
+		}
 	}
-	timer := time.NewTimer(joinMost)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.opts.Joined:
-		return objectapi.Pause(ctx, startDelay)
+	if version, _ := f.opts.State.Version(one.part); version == 0 {
+		if _, err := f.read(ctx, one, patience); err == nil {
+			f.opts.Announce()
+		}
 	}
-	return ctx.Err()
+	return objectapi.Pause(ctx, max(0, settleTime-f.opts.Now().Sub(f.started)))
 }
 
 // mayTry reports whether the platform may be called: while it fails, one kind of
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -111,6 +111,19 @@
 // Table returns the configuration in force, or nil while none is known.
 func (s *State) Table() *routes.Table { return s.table.Load() }
 
+// Known reports whether each part is known: before, an instance could send a
+// request to a zone that is taken out.
+func (s *State) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, version := range s.versions {
+		if version == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Servers returns the backend servers of a service that may get new requests:
 // those that aren't leaving and whose availability zone isn't taken out.
 func (s *State) Servers(service string) []Server { return s.view.Load().byService[service] }
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -29,6 +29,9 @@
 	PeerKey string `json:"peerKey"`
 	// MemoryMegabytes is what the process may use.
 	MemoryMegabytes int `json:"memoryMegabytes"`
+	// FirstStart says that all instances start for the first time, before any
+	// callers come.
+	FirstStart bool `json:"firstStart"`
 	// GraceSeconds is how long requests have to end at a shutdown.
 	GraceSeconds float64 `json:"graceSeconds"`
 	// ColdOverage and ColdSlack bound cold backend servers together: requests
