Wake up, report and tell less often

Cause, counted in the code: an instance with nothing to do woke up some 120 times a second, by ten timers; the second one that watches told all what the first one told; an instance reported each generation four times, 135 reports a second for each planner at 295 instances. Change: one duty looks for refreshes of all kinds; turns are looked at each 250 ms; the second one that watches leaves a change 120 ms to the first; news is gathered for 100 ms; probes are 0.4 to 0.8 s apart by the number of instances; loads are reported when they shrink, a second after they grew, else each 4 s, and end with their instance; the log is written as lines come; a collection at twice what is in use.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -153,12 +153,25 @@
 	others func(now time.Time, id string) Load
 	// heard, if set, returns failures that were seen elsewhere.
 	heard func(now time.Time, id string) float64
+	// changed has an entry after the own load has changed. It holds one: a reader
+	// that is behind looks at the newest load anyway.
+	changed chan struct{}
 }
 
 // New returns a balancer. Others returns what other instances have put on a server;
 // nil means that this is not known.
 func New(bounds Bounds, rng *rand.Rand, others func(now time.Time, id string) Load) *Balancer {
-	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others}
+	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others, changed: make(chan struct{}, 1)}
+}
+
+// Changed has an entry after this instance's load on the servers has changed.
+func (b *Balancer) Changed() <-chan struct{} { return b.changed }
+
+func (b *Balancer) signal() {
+	select {
+	case b.changed <- struct{}{}:
+	default:
+	}
 }
 
 // HearFailures has failures that another balancer counts count here too.
@@ -271,6 +284,7 @@
 
 // count puts the load of a request on its server.
 func (b *Balancer) count(now time.Time, p Place) {
+	b.signal()
 	own := b.server(now, p.Server.ID)
 	own.running++
 	own.tokens += p.Tokens
@@ -345,6 +359,7 @@
 func (b *Balancer) Done(p Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.signal()
 	if own, ok := b.own[p.Server.ID]; ok {
 		own.running--
 		own.tokens -= p.Tokens
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -43,11 +43,14 @@
 	helpProcedure  = servicePath + "Help"
 	newsProcedure  = servicePath + "News"
 	syncProcedure  = servicePath + "Sync"
-	probePeriod    = 400 * time.Millisecond
-	probeTimeout   = 700 * time.Millisecond
-	newsTimeout    = 350 * time.Millisecond
-	syncTimeout    = 2 * time.Second
-	readTimeout    = time.Second
+	// probePeriod is the time between two probes up to probeSize instances; with
+	// more it grows up to twice that, as others probe the same ones.
+	probePeriod  = 400 * time.Millisecond
+	probeSize    = 100
+	probeTimeout = 700 * time.Millisecond
+	newsTimeout  = 350 * time.Millisecond
+	syncTimeout  = 2 * time.Second
+	readTimeout  = time.Second
 	// idleTime is above what callers keep an unused connection for.
 	idleTime        = time.Minute
 	helpers         = 2
@@ -56,7 +59,7 @@
 	concurrentCalls = 48
 	// newsGap is the least time between two messages of news of this instance,
 	// so that changes in quick succession travel together.
-	newsGap = 60 * time.Millisecond
+	newsGap = 100 * time.Millisecond
 	// joinEvery is how often an instance that starts tries to reach a seed, for
 	// joinFast: all of them may start in the same moment.
 	joinEvery = 100 * time.Millisecond
@@ -148,7 +151,7 @@
 	for {
 		now := g.opts.Now()
 		g.refresh(now)
-		pause := probePeriod
+		pause := periodFor(g.opts.Table.Count())
 		if !g.joined.Load() || !g.opts.State.Known() {
 			g.joinSeeds(ctx)
 			if now.Sub(started) < joinFast {
@@ -164,6 +167,11 @@
 	g.caller.Drop()
 }
 
+// periodFor returns the time between two probes of one of n instances.
+func periodFor(n int) time.Duration {
+	return time.Duration(float64(probePeriod) * min(2, max(1, float64(n)/probeSize)))
+}
+
 // submit runs a call to another instance beside others. With all of them busy
 // the call isn't made: probes and news come again.
 func (g *Gossip) submit(kind string, call func()) {
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -47,15 +47,12 @@
 	// logLines is how many lines wait to be written; further ones are dropped
 	// and counted, so that a reader that stands still holds nobody up.
 	logLines = 2048
-	// logPoll is how often waiting lines are written.
-	logPoll = 100 * time.Millisecond
 	// memoryShare is the part of the allowed memory at which the collector
 	// works harder: the rest is for stacks, the C library and what the kernel
 	// holds for sockets.
 	memoryShare = 0.6
-	// collectorPercent lets a third of the heap be garbage; a relayed event
-	// leaves little.
-	collectorPercent = 50
+	// collectorPercent is how much garbage there is for what is in use.
+	collectorPercent = 100
 	// readsPerSecond and readBurst bound an instance's reads of the platform:
 	// three watches and a list, several times over after an outage.
 	readsPerSecond = 40
@@ -115,7 +112,7 @@
 	if mb := opts.Settings.MemoryMegabytes; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
-	out := diode.NewWriter(opts.Streams.Out, logLines, logPoll, nil)
+	out := diode.NewWriter(opts.Streams.Out, logLines, 0, nil)
 	defer func() { _ = out.Close() }()
 	cfg := opts.Settings
 	tel, err := telemetry.New(telemetry.Options{
@@ -155,7 +152,7 @@
 		return err
 	}
 	in.plans = planner.New(planner.Options{
-		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.Load, Failures: placing.Failures,
+		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.Load, Changed: placing.Changed(), Failures: placing.Failures,
 		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
 	})
 	in.gossip, err = gossip.New(gossip.Options{
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -33,14 +33,20 @@
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
 	// sweepEvery is how often entries that stayed missing are dropped.
-	sweepEvery = 250 * time.Millisecond
+	sweepEvery = 500 * time.Millisecond
 	// watchers is how many instances watch a kind of objects for all.
 	watchers = 2
-	// turnCheck is how often an instance looks whether it is to watch.
-	turnCheck = 50 * time.Millisecond
+	// turnCheck is how often an instance looks whether it is to watch, failCheck
+	// the same while the platform fails.
+	turnCheck = 250 * time.Millisecond
+	failCheck = 50 * time.Millisecond
+	// standIn is how long the second one that watches leaves a change to the
+	// first to tell.
+	standIn = 120 * time.Millisecond
 	// settleTime is how long an instance that starts hears of others before it
 	// takes a turn to watch.
 	settleTime = 700 * time.Millisecond
+	startCheck = 20 * time.Millisecond
 	// blindAfter is how long calls fail until another instance is to watch, and
 	// blindFor how long this one leaves that to others then.
 	blindAfter = 500 * time.Millisecond
@@ -122,6 +128,10 @@
 	mu sync.Mutex
 	// interrupt ends the watch that waits.
 	interrupt context.CancelFunc
+	// reading is set while the kind is read in full, notBefore after that failed.
+	reading   bool
+	notBefore time.Time
+	backoff   objectapi.Backoff
 }
 
 // ServersEvery is how often an instance hears of the servers at the latest.
@@ -132,14 +142,16 @@
 	var duties sync.WaitGroup
 	kinds := f.opts.Dialect.Kinds
 	bounds := f.opts.Bounds
+	var all []*follow
 	for _, one := range []*follow{
 		{part: Configuration, kind: kinds.Configuration, wait: longWait, bound: bounds.Configuration, list: f.listConfiguration, apply: f.applyConfiguration},
 		{part: Servers, kind: kinds.Servers, wait: serversWait, bound: bounds.Servers, list: f.listServers, apply: f.applyServers},
 		{part: Zones, kind: kinds.DrainedZones, wait: longWait, bound: bounds.Zones, list: f.listZones},
 	} {
+		all = append(all, one)
 		duties.Go(func() { f.follow(ctx, one) })
-		duties.Go(func() { f.refresh(ctx, one) })
 	}
+	duties.Go(func() { f.refresh(ctx, all) })
 	duties.Go(func() { f.sweep(ctx) })
 	duties.Wait()
 }
@@ -170,7 +182,7 @@
 			continue
 		}
 		if !f.mayTry(f.opts.Now()) {
-			if objectapi.Pause(ctx, turnCheck) != nil {
+			if objectapi.Pause(ctx, failCheck) != nil {
 				return
 			}
 			continue
@@ -192,7 +204,7 @@
 // those whose turn it is.
 func (f *Follower) start(ctx context.Context, one *follow, patience *objectapi.Patience) error {
 	for !f.opts.State.Known() && f.opts.Now().Sub(f.started) < f.opts.StartWait {
-		if err := objectapi.Pause(ctx, turnCheck/2); err != nil {
+		if err := objectapi.Pause(ctx, startCheck); err != nil {
 			return err
 		}
 	}
@@ -278,6 +290,15 @@
 		if one.apply == nil && len(changes.Events) > 0 {
 			return true
 		}
+		if rank > 0 && len(changes.Events) > 0 {
+			if objectapi.Pause(ctx, standIn) != nil {
+				return true
+			}
+			if known, _ := f.opts.State.Version(one.part); one.part != Configuration && changes.Version <= known {
+				version = known
+				continue
+			}
+		}
 		if len(changes.Events) > 0 {
 			one.apply(now, version, changes.Version, changes.Events)
 			// Without events the version stays: a watch that doesn't hear changes
--- a/internal/observed/refresh.go
+++ b/internal/observed/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/objectapi"
@@ -26,7 +27,7 @@
 	// one and a half seconds.
 	serversFirst = 1500 * time.Millisecond
 	// refreshCheck is how often it is looked whether a refresh is due.
-	refreshCheck = 100 * time.Millisecond
+	refreshCheck = 150 * time.Millisecond
 	// suspectAfter is for how long another instance may have read something else
 	// before it is read here, and suspectStep how much longer each of those waits
 	// that don't watch: what they lack is on its way.
@@ -40,29 +41,61 @@
 
 // refresh reads a kind in full whenever the last read, here or elsewhere, is too
 // old: a half-open watch delivers no events and no error.
-func (f *Follower) refresh(ctx context.Context, one *follow) {
-	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
-	backoff := objectapi.Backoff{Min: retryMost, Max: aloneMost}
+func (f *Follower) refresh(ctx context.Context, all []*follow) {
+	var reads sync.WaitGroup
+	defer reads.Wait()
 	for objectapi.Pause(ctx, refreshCheck) == nil {
-		if !f.due(f.opts.Now(), one) {
-			continue
-		}
-		before := f.opts.State.Mark(one.part)
-		if _, err := f.read(ctx, one, &patience); err != nil {
-			if objectapi.Pause(ctx, backoff.Fail()) != nil {
-				return
+		now := f.opts.Now()
+		for _, one := range all {
+			if one.idle(now) && f.due(now, one) && one.begin() {
+				reads.Go(func() { one.end(f.opts.Now, f.reread(ctx, one)) })
 			}
-			continue
-		}
-		backoff.Reset()
-		if f.opts.State.Mark(one.part) != before {
-			f.opts.Log.Warn().Str("kind", one.kind).Msg("a change had not been heard")
-			one.restart()
 		}
-		f.opts.Announce()
 	}
 }
 
+// reread reads a kind in full and tells others of it.
+func (f *Follower) reread(ctx context.Context, one *follow) error {
+	patience := objectapi.Patience{Min: callTimeout, Max: slowTimeout}
+	before := f.opts.State.Mark(one.part)
+	if _, err := f.read(ctx, one, &patience); err != nil {
+		return err
+	}
+	if f.opts.State.Mark(one.part) != before {
+		f.opts.Log.Warn().Str("kind", one.kind).Msg("a change had not been heard")
+		one.restart()
+	}
+	f.opts.Announce()
+	return nil
+}
+
+// idle reports whether a kind may be read in full, begin and end that it is.
+func (one *follow) idle(now time.Time) bool {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	return !one.reading && !now.Before(one.notBefore)
+}
+
+func (one *follow) begin() bool {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	began := !one.reading
+	one.reading = true
+	return began
+}
+
+func (one *follow) end(now func() time.Time, err error) {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	one.reading = false
+	one.backoff.Min, one.backoff.Max = retryMost, aloneMost
+	if err == nil {
+		one.backoff.Reset()
+		return
+	}
+	one.notBefore = now().Add(one.backoff.Fail())
+}
+
 // due reports whether this instance is to read a kind in full. While the platform
 // fails, the lists that precede each watch go on by themselves. One that doesn't
 // watch leaves it to others as long as one of them is known not to be answered:
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -16,9 +16,8 @@
 	reportSettles = 200 * time.Millisecond
 	// assignmentTTL is how long an assignment counts that no report follows.
 	assignmentTTL = 2 * time.Second
-	// reportTTL is how long a report counts that none follows: a few times what
-	// lies between two of an instance with running generations.
-	reportTTL = 3*reportEvery + time.Second
+	// reportTTL is how long a report counts that none follows.
+	reportTTL = 2*reportEvery + time.Second
 )
 
 // Report is what one instance has on the engines that the receiver plans for.
@@ -53,10 +52,15 @@
 	sum   map[string]balancer.Load
 	stale bool
 	swept time.Time
+	// runs reports whether an instance runs.
+	runs func(id string) bool
 }
 
-// NewLoads returns loads of which nothing is known.
-func NewLoads() *Loads { return &Loads{reports: map[string]reported{}} }
+// NewLoads returns loads of which nothing is known. Runs reports whether an
+// instance runs: what others had is over.
+func NewLoads(runs func(id string) bool) *Loads {
+	return &Loads{reports: map[string]reported{}, runs: runs}
+}
 
 // Assign counts a load until its instance reports it.
 func (l *Loads) Assign(now time.Time, by, engine string, tokens int) {
@@ -114,6 +118,6 @@
 	l.swept = now
 	before := len(l.assigned) + len(l.reports)
 	l.assigned = slices.DeleteFunc(l.assigned, func(a assignment) bool { return now.Sub(a.at) >= assignmentTTL })
-	maps.DeleteFunc(l.reports, func(_ string, r reported) bool { return now.Sub(r.at) >= reportTTL })
+	maps.DeleteFunc(l.reports, func(_ string, r reported) bool { return now.Sub(r.at) >= reportTTL || !l.runs(r.By) })
 	l.stale = l.stale || before != len(l.assigned)+len(l.reports)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -114,6 +114,8 @@
 	Bounds balancer.Bounds
 	// Own returns what this instance has on the servers.
 	Own func() map[string]balancer.Load
+	// Changed has an entry after that has changed.
+	Changed <-chan struct{}
 	// Failures returns how often a server failed this instance lately.
 	Failures func(now time.Time, id string) float64
 	Log      zerolog.Logger
@@ -139,7 +141,7 @@
 // New returns a planner.
 func New(opts Options) *Planner {
 	p := &Planner{
-		opts: opts, schedule: NewSchedule(), loads: NewLoads(), caller: peerrpc.NewCaller(opts.Key, opts.Self, turnTimeout),
+		opts: opts, schedule: NewSchedule(), loads: NewLoads(running(opts.Table)), caller: peerrpc.NewCaller(opts.Key, opts.Self, turnTimeout),
 		backoff: map[string]time.Time{}, scores: map[string]score{},
 	}
 	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), p.loads.On)
@@ -147,6 +149,14 @@
 	return p
 }
 
+// running reports of an instance whether it isn't known to be down.
+func running(table *membership.Table) func(id string) bool {
+	return func(id string) bool {
+		r, ok := table.Get(id)
+		return !ok || !r.Down
+	}
+}
+
 // Ask gets the turn of a copy from the instance that plans for the group of the
 // engine that leaves.
 func (p *Planner) Ask(ctx context.Context, l Leaving) (Turn, error) {
--- a/internal/planner/reports.go
+++ b/internal/planner/reports.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// reportCheck is how often changed loads are reported, reportEvery how often
-	// those that haven't changed.
-	reportCheck = 150 * time.Millisecond
-	reportEvery = 2 * time.Second
+	// reportGap is the least time between two reports, so that changes in quick
+	// succession travel together. Loads that only grew are reported after growGap,
+	// as the planner counts what it assigned, and those that didn't change after
+	// reportEvery.
+	reportGap   = 150 * time.Millisecond
+	growGap     = time.Second
+	reportEvery = 4 * time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = 300 * time.Millisecond
 )
@@ -29,11 +32,19 @@
 }
 
 // Run reports what this instance has on the engines to the instances that plan
-// for them, until ctx ends: at once where it changed, else now and then.
+// for them, until ctx ends.
 func (p *Planner) Run(ctx context.Context) {
 	last := map[string]sent{}
 	sequence := int64(0)
-	for objectapi.Pause(ctx, reportCheck) == nil {
+	ticker := time.NewTicker(growGap)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.opts.Changed:
+		case <-ticker.C:
+		}
 		now := p.opts.Now()
 		due := p.loadsByPlanner()
 		for address := range last {
@@ -42,8 +53,7 @@
 			}
 		}
 		for address, loads := range due {
-			known := last[address]
-			if maps.Equal(known.loads, loads) && (len(loads) == 0 || now.Sub(known.at) < reportEvery) {
+			if !reportDue(now, last[address], loads) {
 				continue
 			}
 			sequence++
@@ -56,7 +66,24 @@
 				delete(last, address)
 			}
 		}
+		if objectapi.Pause(ctx, reportGap) != nil {
+			return
+		}
+	}
+}
+
+// reportDue reports whether a planner is to be told of these loads.
+func reportDue(now time.Time, last sent, loads map[string]balancer.Load) bool {
+	age := now.Sub(last.at)
+	if maps.Equal(last.loads, loads) {
+		return len(loads) > 0 && age >= reportEvery
+	}
+	for id, before := range last.loads {
+		if loads[id].Running < before.Running {
+			return true
+		}
 	}
+	return age >= growGap
 }
 
 // loadsByPlanner divides this instance's loads by the instances that plan for
