Have newcomers ask one seed at a time, and be told of a few others

Change: an instance that starts asks one seed, drawn at random, one call at a time, and is told what is in force and of 24 others; the rest comes by syncs with those. Test: TestSeedTellsNewcomersOfAFew.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,7 +62,7 @@
 	newsGap = 100 * time.Millisecond
 	// joinEvery is how often an instance that starts tries to reach a seed, for
 	// joinFast: all of them may start in the same moment.
-	joinEvery = 100 * time.Millisecond
+	joinEvery = 150 * time.Millisecond
 	joinFast  = 2 * time.Second
 )
 
@@ -98,6 +98,7 @@
 	published published
 	syncing   atomic.Bool
 	urgent    pending
+	joining   atomic.Bool
 	// joined is set once another instance has told what it knows.
 	joined atomic.Bool
 }
@@ -153,9 +154,9 @@
 		g.refresh(now)
 		pause := periodFor(g.opts.Table.Count())
 		if !g.joined.Load() || !g.opts.State.Known() {
-			g.joinSeeds(ctx)
+			g.joinSeed(ctx, rng)
 			if now.Sub(started) < joinFast {
-				pause = joinEvery
+				pause = joinEvery/2 + time.Duration(rng.Int64N(int64(joinEvery)))
 			}
 		}
 		g.probeNext(ctx, rng)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -147,6 +147,23 @@
 	all(func(o *one) bool { r, _ := o.table.Get(children[0].ID); return r.Down })
 }
 
+// Guards against seeds that tell everything to each of hundreds of instances that
+// start in the same moment.
+func TestSeedTellsNewcomersOfAFew(t *testing.T) {
+	seed, newcomer := startOne(t, "seed", secret("k"), false), startOne(t, "new", secret("k"), false)
+	var others []membership.Record
+	for i := range 300 {
+		others = append(others, membership.Record{ID: fmt.Sprint(i), Peer: "127.0.0.1:1", Started: 1})
+	}
+	seed.table.Merge(time.Now(), others)
+	seed.learn(3, nil, "s1")
+	newcomer.sync(t.Context(), seed.address, []membership.Record{newcomer.table.Self()})
+	require.True(t, newcomer.has(3, 0, 1))
+	require.Equal(t, 1+joinRecords, newcomer.table.Count())
+	newcomer.sync(t.Context(), seed.address, newcomer.table.All(time.Now()))
+	require.Equal(t, 302, newcomer.table.Count())
+}
+
 // An instance that was cut off is taken for down by all; once it answers, all
 // know within moments.
 func TestInstanceTakenForDownIsBack(t *testing.T) {
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -2,17 +2,30 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 
 	"pollenspindle.example/pollenspindle/internal/membership"
 )
 
-// joinSeeds exchanges all records and versions with the seeds.
-func (g *Gossip) joinSeeds(ctx context.Context) {
-	own := g.opts.Table.Self().Peer
-	for _, address := range g.opts.Seeds {
-		if address != own {
-			g.submit("join", func() { g.sync(ctx, address, g.opts.Table.All(g.opts.Now())) })
-		}
+// joinRecords is how many records an instance is told that knows nobody yet. It
+// gets the others from these: hundreds may start in the same moment, and ask the
+// same few seeds.
+const joinRecords = 24
+
+// joinSeed asks one of the seeds, one at a time, for other instances and for what
+// is in force.
+func (g *Gossip) joinSeed(ctx context.Context, rng *rand.Rand) {
+	seeds := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return s == g.opts.Table.Self().Peer })
+	if len(seeds) == 0 || !g.joining.CompareAndSwap(false, true) {
+		return
+	}
+	address := seeds[rng.IntN(len(seeds))]
+	if g.calls.Submit(func() {
+		defer g.joining.Store(false)
+		g.sync(ctx, address, []membership.Record{g.opts.Table.Self()})
+	}) != nil {
+		g.joining.Store(false)
 	}
 }
 
@@ -66,6 +79,10 @@
 			}
 		}
 	}
+	if len(m.Records) == 1 && len(lacks) > joinRecords {
+		rand.Shuffle(len(lacks), func(i, j int) { lacks[i], lacks[j] = lacks[j], lacks[i] })
+		lacks = lacks[:joinRecords]
+	}
 	g.merge(now, m.Records)
 	answer := &Message{Records: lacks}
 	if m.Versions != nil {
