Wait at the least loaded engine where all are full, refuse beyond a bound

Cause, read in the code: where the planners of all groups asked had no room, the request was placed by its instance's own load alone, which knows nothing of the others since loads are told to planners: it could wait for seconds beside an engine with little. Change: the group asked first gives its least loaded engine up to 1.6 of its memory; beyond, the request is refused at once as not run. Shares of common limits count the instances that others know, so that those that have just started, and know a few, don't take too much. Tests: TestFullGroupIsPassedOver (none has room, some soon; none for long), TestSharesCountWhatOthersKnow.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -49,6 +49,8 @@
 	// by what they are expected to need. Outputs end early about as often as
 	// late, so that a little more than all of it seldom preempts.
 	fullMemory = 1.1
+	// waitingMemory is the same where requests may wait.
+	waitingMemory = 1.6
 	// fullQueue is how many times its slots a plain server takes: beyond, what
 	// waits there would be late at its usual service time.
 	fullQueue = 3.0
@@ -98,6 +100,8 @@
 	Instances int
 	// Whole has all servers compared, however many there are.
 	Whole bool
+	// Anyway has servers chosen that are full, up to a bound: the request waits.
+	Anyway bool
 	// Spread, if not 0, spreads requests over all servers with room, by this
 	// key, in place of choosing the freest.
 	Spread uint64
@@ -238,7 +242,7 @@
 		}
 		usable++
 		load := b.load(now, r, s)
-		if load > limit(r.Service) {
+		if load > limitFor(r) {
 			continue
 		}
 		score := b.score(now, r, s, load)
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -71,6 +71,13 @@
 	return -math.Log(u) / room
 }
 
+func limitFor(r Request) float64 {
+	if r.Anyway && r.Service.Engine != nil {
+		return waitingMemory
+	}
+	return limit(r.Service)
+}
+
 func limit(s *routes.Service) float64 {
 	if s.Engine != nil {
 		return fullMemory
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -152,7 +152,7 @@
 	for {
 		now := g.opts.Now()
 		g.refresh(now)
-		pause := periodFor(g.opts.Table.Count())
+		pause := periodFor(g.opts.Table.Count(now))
 		if !g.joined.Load() || !g.opts.State.Known() {
 			g.joinSeed(ctx, rng)
 			if now.Sub(started) < joinFast {
@@ -190,6 +190,8 @@
 	Records []membership.Record `json:"records,omitempty"`
 	// Versions are what the sender has, Update is what the receiver lacks.
 	Versions *observed.Versions `json:"versions,omitempty"`
+	// Instances is how many instances the sender knows.
+	Instances int `json:"instances,omitempty"`
 	// Digest tells apart which instances the sender knows.
 	Digest uint64           `json:"digest,omitempty"`
 	Update *observed.Update `json:"update,omitempty"`
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -95,8 +95,8 @@
 	b.learn(2, []string{"z1"}, "s1")
 	require.NoError(t, a.ask(t.Context(), b.address, "b"))
 	require.Eventually(t, func() bool { return a.has(2, 1, 1) }, testTimeout, testTick)
-	require.Equal(t, 2, a.table.Count())
-	require.Equal(t, 2, b.table.Count())
+	require.Equal(t, 2, a.table.Count(time.Now()))
+	require.Equal(t, 2, b.table.Count(time.Now()))
 	require.Less(t, a.state.Age(time.Now(), observed.Configuration), time.Second)
 	// The answerer fetches what it lacks too.
 	a.learn(3, nil, "s1", "s3")
@@ -126,7 +126,7 @@
 			return true
 		}, testTimeout, testTick)
 	}
-	all(func(o *one) bool { return o.table.Count() == n && o.has(1, 0, 1) })
+	all(func(o *one) bool { return o.table.Count(time.Now()) == n && o.has(1, 0, 1) })
 	for version := int64(2); version < 20; version++ {
 		first.learn(version, []string{"z1"}, "s1", fmt.Sprint("s", version))
 		first.Announce()
@@ -159,9 +159,10 @@
 	seed.learn(3, nil, "s1")
 	newcomer.sync(t.Context(), seed.address, []membership.Record{newcomer.table.Self()})
 	require.True(t, newcomer.has(3, 0, 1))
-	require.Equal(t, 1+joinRecords, newcomer.table.Count())
+	require.Len(t, newcomer.table.All(time.Now()), 1+joinRecords)
+	require.Equal(t, 302, newcomer.table.Count(time.Now()), "shares are those of all")
 	newcomer.sync(t.Context(), seed.address, newcomer.table.All(time.Now()))
-	require.Equal(t, 302, newcomer.table.Count())
+	require.Len(t, newcomer.table.All(time.Now()), 302)
 }
 
 // An instance that was cut off is taken for down by all; once it answers, all
@@ -183,7 +184,7 @@
 		require.Error(t, pair[0].ask(t.Context(), pair[1].address, ""))
 		pair[0].sync(t.Context(), pair[1].address, pair[0].table.All(time.Now()))
 	}
-	require.Equal(t, 1, a.table.Count())
+	require.Equal(t, 1, a.table.Count(time.Now()))
 	require.Nil(t, a.state.Table())
 }
 
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -84,13 +84,14 @@
 
 func (g *Gossip) own(now time.Time, to string) *Message {
 	versions := g.opts.State.Versions(now)
-	return &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Digest: g.opts.Table.Digest()}
+	return &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Instances: g.opts.Table.Count(now), Digest: g.opts.Table.Digest()}
 }
 
 // take takes over what a probe or its answer says, and fetches what is missing.
 func (g *Gossip) take(ctx context.Context, m *Message, address string) {
 	now := g.opts.Now()
 	g.merge(now, m.Records)
+	g.opts.Table.Heard(now, m.Instances)
 	if m.Versions == nil || address == "" {
 		return
 	}
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -53,6 +53,7 @@
 	}
 	now = g.opts.Now()
 	g.merge(now, m.Records)
+	g.opts.Table.Heard(now, m.Instances)
 	g.joined.Store(true)
 	if m.Update == nil {
 		return
@@ -84,7 +85,7 @@
 		lacks = lacks[:joinRecords]
 	}
 	g.merge(now, m.Records)
-	answer := &Message{Records: lacks}
+	answer := &Message{Records: lacks, Instances: g.opts.Table.Count(now)}
 	if m.Versions != nil {
 		if r, ok := g.opts.Table.Get(m.From); ok && g.opts.State.Behind(*m.Versions) {
 			g.fetch(context.WithoutCancel(ctx), r.Peer)
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -20,8 +21,12 @@
 
 // place chooses a backend server.
 func (s *Server) place(ctx context.Context, now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
-	if place, ok := s.planned(ctx, r, t); ok {
+	place, err := s.planned(ctx, r, t)
+	switch {
+	case err == nil:
 		return place, nil
+	case errors.Is(err, planner.ErrFull):
+		return balancer.Place{}, s.full()
 	}
 	choice := s.opts.Balancer.Pick(now, balancer.Request{
 		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Prompt: r.prompt, Excluded: t.excluded, Instances: s.opts.Instances(),
@@ -32,28 +37,35 @@
 			Float64("load", choice.Score).Int("attempt", t.number+1).Int("tokens", choice.Place.Tokens).Msg("request placed")
 		return choice.Place, nil
 	case balancer.Full:
-		f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "all backend servers are full")
-		f.RetryAfter = fullRetryAfter + time.Duration(s.rng().Int64N(int64(fullSpread)))
-		return balancer.Place{}, f
+		return balancer.Place{}, s.full()
 	}
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendLost, "no backend server is there")
 	f.RetryAfter = noneRetryAfter
 	return balancer.Place{}, f
 }
 
+func (s *Server) full() *answer.Failure {
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "all backend servers are full")
+	f.RetryAfter = fullRetryAfter + time.Duration(s.rng().Int64N(int64(fullSpread)))
+	return f
+}
+
 // planned has the instance that plans for the engines choose one. What it chose
 // counts only while this instance knows no reason against it.
-func (s *Server) planned(ctx context.Context, r *request, t *attempts) (balancer.Place, bool) {
+func (s *Server) planned(ctx context.Context, r *request, t *attempts) (balancer.Place, error) {
 	if s.opts.Planner == nil || !r.generation() {
-		return balancer.Place{}, false
+		return balancer.Place{}, planner.ErrUnavailable
 	}
 	ask := planner.Placing{
 		Request: r.id, Service: r.service.Name, Zone: s.opts.Zone, Prompt: r.prompt, Need: r.prompt + r.output,
 		Excluded: slices.Collect(maps.Keys(t.excluded)),
 	}
 	id, err := s.opts.Planner.Place(ctx, ask)
-	if err != nil || t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= distrust {
-		return balancer.Place{}, false
+	if err != nil {
+		return balancer.Place{}, err
+	}
+	if t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= distrust {
+		return balancer.Place{}, planner.ErrUnavailable
 	}
 	for _, server := range s.opts.State.Servers(r.service.Name) {
 		if server.ID == id {
@@ -61,8 +73,8 @@
 			s.opts.Balancer.Reserve(s.opts.Now(), place)
 			s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.number+1).
 				Int("tokens", place.Tokens).Msg("request placed by plan")
-			return place, true
+			return place, nil
 		}
 	}
-	return balancer.Place{}, false
+	return balancer.Place{}, planner.ErrUnavailable
 }
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -230,7 +230,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.table.Count, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans,
+		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
@@ -238,6 +238,9 @@
 	return err
 }
 
+// instances returns how many instances share common limits.
+func (in *instance) instances() int { return in.table.Count(time.Now()) }
+
 // callers returns the instances that a caller in a zone may use.
 func (in *instance) callers(zone string) []string {
 	return in.table.Callers(rand.New(rand.NewPCG(rand.Uint64(), 4)), zone, maxAddresses)
@@ -245,7 +248,7 @@
 
 // retryLimits is this instance's share of what all may send again.
 func (in *instance) retryLimits() retry.Limits {
-	share := in.cfg.RetrySlack / float64(max(1, in.table.Count()))
+	share := in.cfg.RetrySlack / float64(max(1, in.instances()))
 	return retry.Limits{SuccessShare: in.cfg.RetryRatio * retryPart, MaxTokens: max(1, share*retryPart)}
 }
 
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -297,7 +297,7 @@
 				f.sync(i, f.rng.IntN(min(i, 3)))
 			}
 			began := f.now
-			all := func(t *Table) bool { return t.Count() == n }
+			all := func(t *Table) bool { return t.Count(f.now) == n }
 			for !f.everyone(all) && f.now.Sub(began) < time.Minute {
 				f.round()
 			}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -100,6 +100,9 @@
 	order []string
 	// synced is when all records were last exchanged.
 	synced time.Time
+	// heard is how many instances another one knows, as of heardAt.
+	heard   int
+	heardAt time.Time
 	// derived is what was worked out from the records since they last changed.
 	derived derived
 }
@@ -259,12 +262,29 @@
 	return out
 }
 
+// heardFor is how long it counts how many instances another one knows.
+const heardFor = 10 * time.Second
+
+// Heard notes how many instances another one knows: one that has just started
+// knows few, and must not take a share of common limits as if there were no more.
+func (t *Table) Heard(now time.Time, instances int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if instances >= t.heard || now.Sub(t.heardAt) >= heardFor {
+		t.heard, t.heardAt = instances, now
+	}
+}
+
 // Count returns how many instances share common limits: all that are known,
 // since one that is down may be cut off and go on by itself.
-func (t *Table) Count() int {
+func (t *Table) Count(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return 1 + len(t.rest)
+	n := 1 + len(t.rest)
+	if now.Sub(t.heardAt) < heardFor {
+		n = max(n, t.heard)
+	}
+	return n
 }
 
 // Get returns the record of an instance.
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -124,13 +124,13 @@
 func TestDownInstancesAreForgotten(t *testing.T) {
 	table := NewTable(record("a", "z1"))
 	table.Merge(start, []Record{down(record("b", "z1"))})
-	require.Equal(t, 2, table.Count())
+	require.Equal(t, 2, table.Count(start))
 	require.Len(t, table.All(start), 2)
 	require.Len(t, table.All(start.Add(tellDownFor)), 1)
 	table.Merge(start.Add(forgetAfter), nil)
-	require.Equal(t, 2, table.Count())
+	require.Equal(t, 2, table.Count(start))
 	table.Merge(start.Add(forgetAfter+time.Second), nil)
-	require.Equal(t, 1, table.Count())
+	require.Equal(t, 1, table.Count(start))
 }
 
 // Of instances that know of each other exactly one has each turn; those that the
@@ -206,3 +206,16 @@
 		require.Len(t, probed, n)
 	}
 }
+
+// Guards against shares of common limits that are too large while an instance
+// that has started knows few others.
+func TestSharesCountWhatOthersKnow(t *testing.T) {
+	table := NewTable(record("a", "z1"))
+	table.Merge(start, []Record{record("b", "z1")})
+	table.Heard(start, 295)
+	table.Heard(start.Add(time.Second), 3)
+	require.Equal(t, 295, table.Count(start.Add(time.Second)))
+	require.Equal(t, 2, table.Count(start.Add(heardFor)))
+	table.Heard(start.Add(heardFor), 3)
+	require.Equal(t, 3, table.Count(start.Add(heardFor)))
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -48,7 +48,7 @@
 	}
 	choice := p.plan.Pick(now, balancer.Request{
 		Service: service, Zone: r.Zone, Tokens: r.Need, Prompt: r.Prompt, Excluded: excluded,
-		Instances: p.opts.Table.Count(), Whole: true,
+		Instances: p.opts.Table.Count(now), Whole: true, Anyway: r.Anyway,
 	}, engines)
 	picked, ok := choice.(balancer.Picked)
 	if _, full := choice.(balancer.Full); full && r.Need <= service.Engine.MemoryTokens {
@@ -114,7 +114,7 @@
 func (r *room) free(c Copy, engines []observed.Server) []observed.Server {
 	return r.p.plan.Free(r.now, balancer.Request{
 		Service: r.service, Zone: r.leaving.Zone, Tokens: r.need(c), Excluded: map[string]bool{r.leaving.Engine: true},
-		Instances: r.p.opts.Table.Count(),
+		Instances: r.p.opts.Table.Count(r.now),
 	}, engines)
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -93,6 +93,8 @@
 	// need in all, in tokens.
 	Prompt int `json:"prompt"`
 	Need   int `json:"need"`
+	// Anyway has it placed on the least loaded engine where all are full.
+	Anyway bool `json:"anyway,omitempty"`
 	// Excluded are engines that it must not begin on.
 	Excluded []string `json:"excluded,omitempty"`
 }
@@ -182,11 +184,12 @@
 }
 
 // Place gets the engine that a generation begins on. Where the engines of one
-// group are full, those of the next are asked for.
+// group are full, those of the next are asked for; where all are, the generation
+// waits at the least loaded engine of the group that was asked first.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
 	r.By = p.opts.Self
 	groups := p.inOrder(p.opts.Now(), groupsOf(p.opts.State.Servers(r.Service), r.Service), r.Zone, r.Request)
-	err := ErrUnavailable
+	err, full := ErrUnavailable, false
 	for _, g := range groups[:min(len(groups), maxGroups)] {
 		r.Group = g.key
 		var placed Placed
@@ -194,9 +197,15 @@
 			p.noteScore(g.key, p.opts.Now(), placed.Score)
 			return placed.Engine, nil
 		}
+		full = full || errors.Is(err, ErrFull)
 		p.noteScore(g.key, p.opts.Now(), fullScore)
 	}
-	return "", err
+	if !full {
+		return "", err
+	}
+	r.Group, r.Anyway = groups[0].key, true
+	placed, err := p.placeIn(ctx, r)
+	return placed.Engine, err
 }
 
 // fullScore is the score of a group without room or without a planner.
--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -12,23 +12,31 @@
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
-// Guards against placing on a full group while another has room, and against
-// asking callers to wait where no engine is large enough.
+// Guards against placing on a full group while another has room, against refusing
+// what a nearly full engine will take soon, and against queues without an end.
 func TestFullGroupIsPassedOver(t *testing.T) {
-	const engines, measure = 48, 34000
+	const engines, memory = 48, 34000
 	tests := map[string]struct {
-		used func(zone string) int
+		used func(id, zone string) int
 		need int
 		want error
+		zone string
+		id   string
 	}{
-		"one group has room": {func(zone string) int {
+		"one group has room": {used: func(_, zone string) int {
 			if zone == "zone-2" {
 				return 0
 			}
-			return measure
-		}, 4000, nil},
-		"none has":                {func(string) int { return measure }, 4000, ErrFull},
-		"larger than any of them": {func(string) int { return 0 }, 2 * measure, ErrUnavailable},
+			return memory
+		}, need: 4000, zone: "zone-2"},
+		"none has, some soon": {used: func(id, _ string) int {
+			if id == "e3" {
+				return memory
+			}
+			return memory * 13 / 10
+		}, need: 4000, zone: "zone-0", id: "e3"},
+		"none has for long":       {used: func(string, string) int { return 2 * memory }, need: 4000, want: ErrFull},
+		"larger than any of them": {used: func(string, string) int { return 0 }, need: 2 * memory, want: ErrUnavailable},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -36,11 +44,11 @@
 			a := startWith(t, "a", "k", list, func(*Options) {})
 			loads := map[string]balancer.Load{}
 			for _, e := range list {
-				loads[e.ID] = balancer.Load{Running: 1, Tokens: tt.used(e.Zone)}
+				loads[e.ID] = balancer.Load{Running: 1, Tokens: tt.used(e.ID, e.Zone)}
 			}
 			a.loads.Take(time.Now(), Report{By: "b", Started: 1, Sequence: 1, Loads: loads})
 			for i := range 4 {
-				engine, err := a.Place(t.Context(), Placing{Request: fmt.Sprint("r", i), Service: "llm", Zone: "zone-0", Prompt: 3000, Need: tt.need})
+				engine, err := a.Place(t.Context(), Placing{Request: fmt.Sprint("r", i), Service: "llm", Zone: "zone-0", Prompt: 30, Need: tt.need})
 				if tt.want != nil {
 					require.ErrorIs(t, err, tt.want)
 					continue
@@ -48,7 +56,10 @@
 				require.NoError(t, err)
 				server, ok := a.opts.State.Server(engine)
 				require.True(t, ok)
-				require.Equal(t, "zone-2", server.Zone)
+				require.Equal(t, tt.zone, server.Zone)
+				if tt.id != "" && i == 0 {
+					require.Equal(t, tt.id, engine)
+				}
 			}
 		})
 	}
