Log what others tell that changes what an instance believes

Changes of servers and zones that came by news left no line since they aren't watched by each instance; nor did the mark of others that one is down.

--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -118,15 +118,39 @@
 
 // apply takes over an update, and fetches what is missing before it.
 func (g *Gossip) apply(ctx context.Context, now time.Time, u *observed.Update, from string) {
+	if !g.takeUpdate(now, u, from) && !g.opts.State.Behind(u.Versions) {
+		return
+	}
+	if r, ok := g.opts.Table.Get(from); ok {
+		g.fetch(ctx, r.Peer)
+	}
+}
+
+// takeUpdate takes over an update and reports whether changes are missing before
+// it.
+func (g *Gossip) takeUpdate(now time.Time, u *observed.Update, from string) (missing bool) {
 	if len(u.Configuration) > 0 {
 		g.opts.TakeRaw(now, u.Configuration, from)
 	}
-	missing := g.opts.State.Apply(now, u)
-	if missing || g.opts.State.Behind(u.Versions) {
-		if r, ok := g.opts.Table.Get(from); ok {
-			g.fetch(ctx, r.Peer)
-		}
+	parts := []observed.Part{observed.Servers, observed.Zones}
+	var before [2]uint64
+	for i, p := range parts {
+		before[i] = g.opts.State.Mark(p)
+	}
+	missing = g.opts.State.Apply(now, u)
+	if g.opts.State.Mark(observed.Servers) != before[0] {
+		g.opts.Log.Info().Str("source", from).Int64("version", u.Versions[observed.Servers].Version).
+			Int("changes", len(u.Changes)).Bool("whole", u.Whole).Msg("backend servers told by another instance")
+	}
+	if g.opts.State.Mark(observed.Zones) != before[1] {
+		g.opts.Log.Info().Str("source", from).Int64("version", u.Versions[observed.Zones].Version).
+			Strs("zones", u.Zones).Msg("zones told by another instance")
+	}
+	if missing {
+		g.opts.Log.Info().Str("source", from).Int64("from", u.From).Int64("version", u.Versions[observed.Servers].Version).
+			Msg("changes of backend servers are missing, fetched")
 	}
+	return missing
 }
 
 // restFor is how long an instance that couldn't be told news is told past.
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -108,6 +108,9 @@
 // down, is told to all.
 func (g *Gossip) merge(now time.Time, records []membership.Record) {
 	for _, r := range g.opts.Table.Merge(now, records) {
+		if r.Down {
+			g.opts.Log.Info().Str("instance", r.ID).Int64("started", r.Started).Int64("change", r.Change).Msg("instance is down, by others")
+		}
 		if r.ID == g.self {
 			g.opts.Log.Info().Int64("change", r.Change).Msg("this instance was taken for down")
 			g.urgent.add(r)
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -58,10 +58,7 @@
 	if m.Update == nil {
 		return
 	}
-	if len(m.Update.Configuration) > 0 {
-		g.opts.TakeRaw(now, m.Update.Configuration, m.From)
-	}
-	g.opts.State.Apply(now, m.Update)
+	g.takeUpdate(now, m.Update, m.From)
 }
 
 // answerSync returns the records that the sender lacks, where it tells its own,
