Watch without staleness for a while after a watch that heard nothing

Cause: while the platform has dropped its history, answers that may be late are seconds old, and the notices of engines that leave came with the next read in full, up to 1.5 s later, when the engine was gone. Change: for 10 s after a read in full found what a watch hadn't heard, watches ask for answers that aren't late, which cost ten times as much. Test: TestWatchesAreFreshAfterOneHeardNothing.

--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -34,6 +34,9 @@
 	retryMost  = 700 * time.Millisecond
 	// sweepEvery is how often entries that stayed missing are dropped.
 	sweepEvery = 500 * time.Millisecond
+	// freshFor is for how long watches aren't answered late after one that didn't
+	// hear of a change.
+	freshFor = 10 * time.Second
 	// watchers is how many instances watch a kind of objects for all.
 	watchers = 2
 	// turnCheck is how often an instance looks whether it is to watch, failCheck
@@ -86,6 +89,8 @@
 	failed  int
 	failing time.Time
 	failure time.Time
+	// unheard is when a read in full last found what a watch hadn't heard.
+	unheard time.Time
 	// backoff and next say when the platform is tried again while it fails.
 	backoff objectapi.Backoff
 	next    time.Time
@@ -266,7 +271,7 @@
 		if rank > 0 {
 			wait = longWait
 		}
-		changes, err := f.opts.Objects.Watch(f.watchCall(call, patience), one.kind, version, wait)
+		changes, err := f.opts.Objects.Watch(f.watchCall(call, start, patience), one.kind, version, wait)
 		interrupted := call.Err() != nil
 		done()
 		now := f.opts.Now()
@@ -319,9 +324,27 @@
 }
 
 // watchCall bounds one watch. Watches may be answered late, which is cheap for the
-// platform: reads in full bound how late.
-func (f *Follower) watchCall(ctx context.Context, patience *objectapi.Patience) context.Context {
-	return objectapi.AllowStale(objectapi.WithTimeout(ctx, patience.Timeout()))
+// platform, but for a while after one didn't hear of a change.
+func (f *Follower) watchCall(ctx context.Context, now time.Time, patience *objectapi.Patience) context.Context {
+	ctx = objectapi.WithTimeout(ctx, patience.Timeout())
+	if f.mayBeLate(now) {
+		ctx = objectapi.AllowStale(ctx)
+	}
+	return ctx
+}
+
+// mayBeLate reports whether watches may be answered late.
+func (f *Follower) mayBeLate(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unheard.IsZero() || now.Sub(f.unheard) >= freshFor
+}
+
+// notHeard notes that a watch didn't hear of a change.
+func (f *Follower) notHeard(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unheard = now
 }
 
 // lost and regained note an outage: what is missing right after it may return.
--- a/internal/observed/refresh_test.go
+++ b/internal/observed/refresh_test.go
@@ -169,6 +169,16 @@
 	require.True(t, f.mayTry(now))
 }
 
+// Guards against watches that go on being answered seconds late.
+func TestWatchesAreFreshAfterOneHeardNothing(t *testing.T) {
+	f := NewFollower(Options{State: NewState(), Log: zerolog.Nop(), Now: func() time.Time { return start }})
+	require.True(t, f.mayBeLate(start))
+	f.notHeard(start)
+	require.False(t, f.mayBeLate(start))
+	require.False(t, f.mayBeLate(start.Add(freshFor-1)))
+	require.True(t, f.mayBeLate(start.Add(freshFor)))
+}
+
 // An instance that the platform doesn't answer leaves the watch to others, and
 // tries again after a while.
 func TestBlindInstanceSaysSo(t *testing.T) {
