--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -295,12 +295,17 @@
 	if now.After(own.readUntil) {
 		own.readUntil = now
 	}
-	own.readUntil = own.readUntil.Add(time.Duration(float64(p.Prompt) / readRate * float64(time.Second)))
+	own.readUntil = own.readUntil.Add(readTime(p.Prompt))
 	if now.Before(p.Server.ColdUntil) {
 		b.countCold(now, own)
 	}
 }
 
+// readTime is how long an engine reads a prompt.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Second))
+}
+
 func (b *Balancer) server(now time.Time, id string) *server {
 	own, ok := b.own[id]
 	if !ok {
@@ -370,6 +375,15 @@
 	}
 }
 
+// Unread takes back the reading time of a request that isn't sent.
+func (b *Balancer) Unread(p Place) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if own, ok := b.own[p.Server.ID]; ok {
+		own.readUntil = own.readUntil.Add(-readTime(p.Prompt))
+	}
+}
+
 // On returns what this instance has put on one server.
 func (b *Balancer) On(id string) Load {
 	b.mu.Lock()
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -15,8 +15,12 @@
 	// two dozen is nearly as good as among all.
 	groupSize = 32
 	// foreignCost is what a group of another availability zone weighs, as a score
-	// of the balancer.
+	// of the balancer, and usualScore that of a group of which nothing is known.
 	foreignCost = 0.12
+	usualScore  = 0.25
+	// busyScore is from what score on another group is asked first: prompts wait
+	// for about a quarter of a second.
+	busyScore = 0.5
 	// scoreTTL is how long the score of a group's last choice is believed.
 	scoreTTL = time.Second
 )
@@ -95,13 +99,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cost := func(g group) float64 {
-		c := 0.0
 		if s, ok := p.scores[g.key]; ok && now.Sub(s.at) < scoreTTL {
-			c = s.value
-		} else if g.zone != zone {
-			c = foreignCost
+			return s.value
 		}
-		return c
+		if g.zone != zone {
+			return usualScore + foreignCost
+		}
+		return usualScore
 	}
 	out := slices.Clone(groups)
 	slices.SortFunc(out, func(a, b group) int {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -58,6 +58,10 @@
 		return Placed{}, ErrUnavailable
 	}
 	p.plan.Done(picked.Place)
+	if r.Most > 0 && picked.Score > r.Most {
+		p.plan.Unread(picked.Place)
+		return Placed{Score: picked.Score}, nil
+	}
 	p.loads.Assign(now, r.By, picked.Place.Server.ID, r.Need)
 	return Placed{Engine: picked.Place.Server.ID, Score: picked.Score}, nil
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -93,14 +93,17 @@
 	// need in all, in tokens.
 	Prompt int `json:"prompt"`
 	Need   int `json:"need"`
+	// Most is the score above which it isn't placed, 0 for none: the asker has
+	// other groups to ask.
+	Most float64 `json:"most,omitempty"`
 	// Anyway has it placed on the least loaded engine where all are full.
 	Anyway bool `json:"anyway,omitempty"`
 	// Excluded are engines that it must not begin on.
 	Excluded []string `json:"excluded,omitempty"`
 }
 
-// Placed is the id of the engine that a generation begins on, and what the choice
-// came to.
+// Placed is the id of the engine that a generation begins on, or none where the
+// score of the best is above what the asker wants, and that score.
 type Placed struct {
 	Engine string  `json:"engine"`
 	Score  float64 `json:"score"`
@@ -184,26 +187,42 @@
 }
 
 // Place gets the engine that a generation begins on. Where the engines of one
-// group are full, those of the next are asked for; where all are, the generation
-// waits at the least loaded engine of the group that was asked first.
+// group are busy or full, those of the next are asked for; where all are, the
+// generation waits at the least loaded engine of the least busy group.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
 	r.By = p.opts.Self
 	groups := p.inOrder(p.opts.Now(), groupsOf(p.opts.State.Servers(r.Service), r.Service), r.Zone, r.Request)
-	err, full := ErrUnavailable, false
-	for _, g := range groups[:min(len(groups), maxGroups)] {
+	groups = groups[:min(len(groups), maxGroups)]
+	if len(groups) > 1 {
+		r.Most = busyScore
+	}
+	least, leastScore, err := "", float64(fullScore), ErrUnavailable
+	for _, g := range groups {
 		r.Group = g.key
-		var placed Placed
-		if placed, err = p.placeIn(ctx, r); err == nil {
+		placed, failure := p.placeIn(ctx, r)
+		if failure == nil && placed.Engine != "" {
 			p.noteScore(g.key, p.opts.Now(), placed.Score)
 			return placed.Engine, nil
 		}
-		full = full || errors.Is(err, ErrFull)
-		p.noteScore(g.key, p.opts.Now(), fullScore)
+		if failure != nil {
+			placed.Score = fullScore
+		}
+		p.noteScore(g.key, p.opts.Now(), placed.Score)
+		if failure == nil && placed.Score < leastScore {
+			least, leastScore = g.key, placed.Score
+		}
+		if least == "" && !errors.Is(err, ErrFull) {
+			err = failure
+		}
 	}
-	if !full {
+	switch {
+	case least != "":
+		r.Group, r.Most = least, 0
+	case errors.Is(err, ErrFull):
+		r.Group, r.Most, r.Anyway = groups[0].key, 0, true
+	default:
 		return "", err
 	}
-	r.Group, r.Anyway = groups[0].key, true
 	placed, err := p.placeIn(ctx, r)
 	return placed.Engine, err
 }
