--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -83,6 +83,29 @@
 	return groups
 }
 
+// grouped are the groups of a list of engines, which isn't changed once made.
+type grouped struct {
+	first  *observed.Server
+	number int
+	groups []group
+}
+
+// groups returns the groups of a service's engines.
+func (p *Planner) groups(service string) []group {
+	engines := p.opts.State.Servers(service)
+	if len(engines) == 0 {
+		return groupsOf(nil, service)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.grouped[service]
+	if known.first != &engines[0] || known.number != len(engines) {
+		known = grouped{first: &engines[0], number: len(engines), groups: groupsOf(engines, service)}
+		p.grouped[service] = known
+	}
+	return known.groups
+}
+
 // score is what a group's last choice came to.
 type score struct {
 	value float64
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -41,7 +41,7 @@
 	}
 	now := p.opts.Now()
 	var engines []observed.Server
-	for _, g := range groupsOf(p.opts.State.Servers(r.Service), r.Service) {
+	for _, g := range p.groups(r.Service) {
 		if g.key == r.Group {
 			engines = g.engines
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -144,13 +144,15 @@
 	backoff map[string]time.Time
 	// scores are by group.
 	scores map[string]score
+	// grouped are by service.
+	grouped map[string]grouped
 }
 
 // New returns a planner.
 func New(opts Options) *Planner {
 	p := &Planner{
 		opts: opts, schedule: NewSchedule(), loads: NewLoads(running(opts.Table)), caller: peerrpc.NewCaller(opts.Key, opts.Self, turnTimeout),
-		backoff: map[string]time.Time{}, scores: map[string]score{},
+		backoff: map[string]time.Time{}, scores: map[string]score{}, grouped: map[string]grouped{},
 	}
 	p.plan = balancer.New(opts.Bounds, rand.New(rand.NewPCG(rand.Uint64(), 3)), p.loads.On)
 	p.plan.HearFailures(opts.Failures)
@@ -194,7 +196,7 @@
 // generation waits at the least loaded engine of the least busy group.
 func (p *Planner) Place(ctx context.Context, r Placing) (string, error) {
 	r.By = p.opts.Self
-	groups := p.inOrder(p.opts.Now(), groupsOf(p.opts.State.Servers(r.Service), r.Service), r.Zone, r.Request)
+	groups := p.inOrder(p.opts.Now(), p.groups(r.Service), r.Zone, r.Request)
 	groups = groups[:min(len(groups), maxGroups)]
 	if len(groups) > 1 {
 		r.Most = busyScore
--- a/internal/planner/reports.go
+++ b/internal/planner/reports.go
@@ -135,7 +135,7 @@
 func (p *Planner) groupEngines(service string, engine *observed.Server) []observed.Server {
 	engines := p.opts.State.Servers(service)
 	key := groupKey(engines, service, engine)
-	for _, g := range groupsOf(engines, service) {
+	for _, g := range p.groups(service) {
 		if g.key == key {
 			return g.engines
 		}
