--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -51,8 +51,8 @@
 	// works harder: the rest is for stacks, the C library and what the kernel
 	// holds for sockets.
 	memoryShare = 0.6
-	// collectorPercent is how much garbage there is for what is in use.
-	collectorPercent = 100
+	// collectorPercent is how much garbage may be there beside what is in use.
+	collectorPercent = 50
 	// readsPerSecond and readBurst bound an instance's reads of the platform:
 	// three watches and a list, several times over after an outage.
 	readsPerSecond = 40
