Split the large files of the users' path; give reasons in place of stories

membership, observed and balancer: declarations moved to files by what they do, none changed. Comments of the form load, harm and failure in balancer, ingress, migration, objectapi, planner and retry say the reason in a sentence or two. No behaviour changes; the packages' tests pass.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -66,17 +66,6 @@
 	scarceCost = 4.0
 )
 
-// Load is what was put on one backend server.
-type Load struct {
-	Running int `json:"running"`
-	Tokens  int `json:"tokens"`
-}
-
-// Plus returns the sum of two loads.
-func (l Load) Plus(m Load) Load {
-	return Load{Running: l.Running + m.Running, Tokens: l.Tokens + m.Tokens}
-}
-
 // Bounds are the deployment's limits on cold servers.
 type Bounds struct {
 	// ColdOverage multiplies what a cold server declares to bear, ColdSlack is
@@ -107,14 +96,6 @@
 	Spread uint64
 }
 
-// Place is the load of one request on one server.
-type Place struct {
-	Server observed.Server
-	Tokens int
-	// Prompt is how many tokens the server reads before it begins.
-	Prompt int
-}
-
 // Choice is [Picked], [Full] or [None].
 type Choice interface{ choice() }
 
@@ -135,18 +116,6 @@
 func (Full) choice()   {}
 func (None) choice()   {}
 
-type server struct {
-	running, tokens int
-	failures        float64
-	failedAt        time.Time
-	// coldSince and coldSent count what was sent in the present second.
-	coldSince time.Time
-	coldSent  int
-	used      time.Time
-	// readUntil is when the prompts sent so far will have been read.
-	readUntil time.Time
-}
-
 // Balancer places the requests of one instance. It is safe for concurrent use.
 type Balancer struct {
 	bounds Bounds
@@ -168,19 +137,6 @@
 	return &Balancer{bounds: bounds, rng: rng, own: map[string]*server{}, others: others, changed: make(chan struct{}, 1)}
 }
 
-// Changed has an entry after this instance's load on the servers has changed.
-func (b *Balancer) Changed() <-chan struct{} { return b.changed }
-
-func (b *Balancer) signal() {
-	select {
-	case b.changed <- struct{}{}:
-	default:
-	}
-}
-
-// HearFailures has failures that another balancer counts count here too.
-func (b *Balancer) HearFailures(heard func(now time.Time, id string) float64) { b.heard = heard }
-
 // Pick chooses among servers and counts the load on the one chosen.
 func (b *Balancer) Pick(now time.Time, r Request, servers []observed.Server) Choice {
 	b.mu.Lock()
@@ -200,10 +156,8 @@
 	// sampleFar are how many are drawn from longer lists, in the caller's zone
 	// and elsewhere.
 	//
-	// Load: a hundred instances that know each other's loads as of a second or
-	// two ago. Harm: all choose the server that was the freest then, and its
-	// queue is what callers wait in while others stand idle. The freest of a
-	// few drawn at random is nearly as free, and another one each time.
+	// Instances that know only their own load would otherwise choose alike; the
+	// freest of a few drawn at random is nearly as free.
 	wholeList  = 16
 	sampleNear = 3
 	sampleFar  = 1
@@ -285,133 +239,3 @@
 	}
 	return out
 }
-
-// count puts the load of a request on its server.
-func (b *Balancer) count(now time.Time, p Place) {
-	b.signal()
-	own := b.server(now, p.Server.ID)
-	own.running++
-	own.tokens += p.Tokens
-	if now.After(own.readUntil) {
-		own.readUntil = now
-	}
-	own.readUntil = own.readUntil.Add(readTime(p.Prompt))
-	if now.Before(p.Server.ColdUntil) {
-		b.countCold(now, own)
-	}
-}
-
-// readTime is how long an engine reads a prompt.
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readRate * float64(time.Second))
-}
-
-func (b *Balancer) server(now time.Time, id string) *server {
-	own, ok := b.own[id]
-	if !ok {
-		own = &server{}
-		b.own[id] = own
-		b.forget(now)
-	}
-	own.used = now
-	return own
-}
-
-// keepUnused is for how long a server that got nothing is remembered.
-const keepUnused = time.Minute
-
-func (b *Balancer) forget(now time.Time) {
-	for id, s := range b.own {
-		if s.running == 0 && !s.used.IsZero() && now.Sub(s.used) > keepUnused {
-			delete(b.own, id)
-		}
-	}
-}
-
-// Failures returns how often a server failed lately, each failure counting less
-// as time goes by.
-func (b *Balancer) Failures(now time.Time, id string) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.failures(now, id)
-}
-
-func (b *Balancer) failures(now time.Time, id string) float64 {
-	heard := 0.0
-	if b.heard != nil {
-		heard = b.heard(now, id)
-	}
-	own, ok := b.own[id]
-	if !ok || own.failures == 0 {
-		return heard
-	}
-	return heard + own.failures*math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
-}
-
-// Failed notes that a server failed a request that it should have answered.
-func (b *Balancer) Failed(now time.Time, id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	own := b.server(now, id)
-	n := own.failures * math.Exp2(-float64(now.Sub(own.failedAt))/float64(failureHalf))
-	own.failures, own.failedAt = min(maxFailures, n+1), now
-}
-
-// Reserve counts load on a server that was chosen elsewhere.
-func (b *Balancer) Reserve(now time.Time, p Place) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.count(now, p)
-}
-
-// Done takes the load of a request off its server.
-func (b *Balancer) Done(p Place) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.signal()
-	if own, ok := b.own[p.Server.ID]; ok {
-		own.running--
-		own.tokens -= p.Tokens
-	}
-}
-
-// ReadWait returns how long an engine is expected to read the prompts that it was
-// sent.
-func (b *Balancer) ReadWait(now time.Time, id string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Duration(b.wait(now, id) * float64(time.Second))
-}
-
-// Unread takes back the reading time of a request that isn't sent.
-func (b *Balancer) Unread(p Place) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if own, ok := b.own[p.Server.ID]; ok {
-		own.readUntil = own.readUntil.Add(-readTime(p.Prompt))
-	}
-}
-
-// On returns what this instance has put on one server.
-func (b *Balancer) On(id string) Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	own, ok := b.own[id]
-	if !ok {
-		return Load{}
-	}
-	return Load{Running: own.running, Tokens: own.tokens}
-}
-
-// Load returns what this instance has put on the servers.
-func (b *Balancer) Load() map[string]Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[string]Load{}
-	for id, s := range b.own {
-		if s.running > 0 {
-			out[id] = Load{Running: s.running, Tokens: s.tokens}
-		}
-	}
-	return out
-}
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -8,11 +8,9 @@
 
 // bearsCold reports whether a server that is cold may get one more request.
 //
-// Load: a zone's servers come back cold together while all instances have
-// requests waiting. Harm: a cold server crashes at a rate well above what it
-// declares, and is cold again. The declared rate holds for all instances
-// together, also those that can't see each other, so each keeps to its share
-// by the number of instances that were ever heard of lately.
+// The rate that a cold server declares holds for all instances together, also
+// those that can't see each other: each keeps to its share by the number of
+// instances known lately.
 func (b *Balancer) bearsCold(now time.Time, r Request, s *observed.Server) bool {
 	if !now.Before(s.ColdUntil) || r.Service.ColdPerSecond <= 0 {
 		return true
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -30,11 +30,8 @@
 // wait returns how many seconds an engine is expected to read the prompts that
 // it was sent before.
 //
-// Load: a dozen prompts a second of thousands of tokens each, and engines that
-// come and go. Harm: chosen by free memory, an engine that is new and empty gets
-// every prompt until its memory fills; callers wait there for seconds while all
-// others read nothing. A prompt's reading is known when it is sent, so that the
-// queue needs no reports: it is sent prompts and the time since.
+// The freest engine by memory is often a new one, which would get every prompt;
+// how long it reads is known from what it was sent.
 func (b *Balancer) wait(now time.Time, id string) float64 {
 	own, ok := b.own[id]
 	if !ok {
@@ -54,10 +51,8 @@
 // spread draws a server for a key, with the free room of each as its weight
 // (weighted rendezvous hashing).
 //
-// Load: all generations of a leaving engine look for room in the same moment,
-// from several instances that don't see each other's choice. Harm: all take the
-// engine that was the freest, wait for each other at its link until their own
-// engine is gone, and are together again on the next engine that leaves.
+// Generations of a leaving engine are moved by instances that don't see each
+// other's choices, and must not all choose the freest engine.
 func spread(r Request, s *observed.Server, load float64) float64 {
 	room := max(leastRoom, 1-load)
 	if s.Zone != r.Zone {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -116,10 +116,9 @@
 
 // tooLate refuses what an instance that leaves could not bring to its end.
 //
-// The failure: callers that were told of this instance before come for seconds
-// after it was told to stop. A long stream that begins then is cut when the
-// process ends, and can't be had anew; refused, it begins elsewhere at once. The
-// caller's own bound on the output decides, as an expectation is often far off.
+// Callers that were told of this instance before come for seconds. A long stream
+// that begins then would be cut when the process ends; refused, it begins
+// elsewhere. The caller's bound on the output decides, not the expectation.
 func (s *Server) tooLate(now time.Time, r *request) *answer.Failure {
 	if !s.draining.Load() {
 		return nil
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -84,12 +84,9 @@
 
 // rescue has a run whose stream stands still go on at another engine.
 //
-// The failure: something between this instance and the engine has lost track of
-// the connection. The engine goes on, new connections to it work, and the
-// caller waits for an event that never comes. The engine stops the run when it
-// is asked to move it, so that it can't go on twice; one that doesn't know the
-// run any more leaves nothing to wait for, and one that can't be reached leaves
-// everything as it is.
+// A half-open connection delivers no events and no error. The engine stops the
+// run when it is asked to move it, so that it can't go on twice; one that doesn't
+// know the run leaves nothing to wait for.
 func (s *Server) rescue(ctx context.Context, one *run) {
 	source := one.server()
 	m := &mover{s: s, one: one, source: source, excluded: map[string]bool{source.ID: true}}
@@ -117,10 +114,8 @@
 // ask reads the reports of the engines that carry runs of this instance while
 // the platform tells nothing.
 //
-// The failure: the platform is down while engines are reclaimed. Nobody hears
-// of it, and every generation there is cut, although the engines themselves
-// know when they leave. Only engines with runs are asked, so that the number of
-// calls follows the runs and not the size of the deployment.
+// Only engines with runs are asked, so that the number of calls follows the runs
+// and not the size of the deployment.
 func (s *Server) ask(ctx context.Context, asked map[string]time.Time) {
 	now := s.opts.Now()
 	if s.opts.State.Age(now, observed.Servers) < observed.ServersEvery+platformSilent {
--- a/internal/ingress/move.go
+++ b/internal/ingress/move.go
@@ -89,9 +89,8 @@
 // unreachable is how long an engine takes at least to find that another one
 // can't be reached; one that is there and has no room refuses in milliseconds.
 //
-// The failure: while the platform is away, engines that are gone stay listed.
-// Each generation of one that leaves would find out for itself, a third of a
-// second a time, and be cut before it has found one that is there.
+// While the platform is away engines that are gone stay listed; what one
+// generation finds out counts as a failure for all.
 const unreachable = 200 * time.Millisecond
 
 // mover is the move of one run.
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -126,9 +126,9 @@
 
 // unready refuses for want of a configuration, or of one that is fresh.
 //
-// Load: all instances start anew while the platform is away, and every caller
-// comes at once. Harm: told to come back soon, all are refused a second time,
-// and have no third try. An outage lasts for seconds, a start for some tenths.
+// Callers come again once or twice: told to come back soon during an outage, all
+// would be refused a second time. An outage lasts for seconds, a start for some
+// tenths.
 func (s *Server) unready() error {
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodePlatformDown, "this instance knows no configuration yet")
 	f.RetryAfter = denyRetryAfter
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -226,8 +226,8 @@
 
 // Close ends the listeners and with them what is still at work.
 //
-// The failure: the library doesn't close a server that is on its way to serve,
-// which then serves for ever. So it is closed until it has ended.
+// The library doesn't close a server that is on its way to serve, so that it is
+// closed until it has ended.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -68,8 +68,7 @@
 	defer f.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// The failure: the time ends in the moment in which the first event is
-	// passed on. The stream, which the caller has begun to get, would be cut.
+	// The time may end in the moment in which the first event is passed on.
 	timer := time.AfterFunc(limit, func() {
 		if f.run.expire() {
 			cancel()
@@ -247,10 +246,9 @@
 
 // resumeCopied goes on from a copy that was made while the generation ran.
 //
-// The failure: an engine ends, or the connection to it, after a generation was
-// copied and before it was stopped. The other engine has all but its last
-// tokens and reads those anew. Should the first engine still be there, it is
-// told to stop: the generation must not go on at two.
+// The other engine has all but the last tokens and reads those anew. Should the
+// first engine still be there, it is told to stop: the generation must not go on
+// at two.
 func (f *flow) resumeCopied(ctx context.Context, h handover) (*upstream.Answer, error) {
 	if !f.stopAt(ctx, h) {
 		f.s.opts.Balancer.Done(h.to)
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -94,11 +94,9 @@
 
 // Next returns what is done next for a generation.
 //
-// Load: all generations of an engine are moved over one link, by several
-// instances that don't see each other's. Harm: stopped at once, each would
-// stand still while all others are copied, about a second, and callers take a
-// fifth of that for late. So it is stopped only when a copy has shown that the
-// link is free, or when the time left demands it.
+// Stopped at once, each would stand still while all others are copied over the
+// same link. So it is stopped only when a copy has shown that the link is free, or
+// when the time left demands it.
 func Next(now time.Time, p Progress) Step {
 	switch {
 	case p.Refused >= maxTargets:
--- a/internal/objectapi/backoff.go
+++ b/internal/objectapi/backoff.go
@@ -8,11 +8,8 @@
 
 // Backoff spaces the attempts of one duty that keeps failing.
 //
-// Load: each instance keeps watches open, and all of them fail in the same
-// moment when the platform goes down. Harm: without jitter all 350 would come
-// back together, second by second, and keep a recovering platform above its
-// rates. The full range of the delay is random, so that the returns spread
-// evenly over it.
+// The full range of the delay is random, so that instances whose calls fail in the
+// same moment don't return together.
 type Backoff struct {
 	// Min is the greatest first delay, Max the greatest of all.
 	Min, Max time.Duration
--- a/internal/objectapi/patience.go
+++ b/internal/objectapi/patience.go
@@ -7,12 +7,9 @@
 
 // Patience says how long to wait for an answer of a platform that may be slow.
 //
-// The failure: each call to the platform takes longer than its timeout. Then no
-// call ever succeeds, although the platform works: a deployment that starts
-// meanwhile reads neither roster nor configuration. So the time doubles with
-// each call that fails, up to Max, and goes back by half only when an answer
-// would have come within that. It is short at first, since one silent
-// connection mustn't cost the confirmation of a lease.
+// The time doubles with each call that ran into it, up to Max, so that a slow
+// platform can still be read, and goes back by half only when an answer would have
+// come within that. It is short at first, as a connection may be half open.
 type Patience struct {
 	Min, Max time.Duration
 	failures int
--- /dev/null
+++ b/internal/observed/take.go
@@ -0,0 +1,92 @@
+package observed
+
+import (
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/objectapi"
+)
+
+func (f *Follower) listConfiguration(now time.Time, _ int64, objects []objectapi.Object) {
+	for _, o := range objects {
+		f.takeConfiguration(now, o)
+	}
+}
+
+func (f *Follower) applyConfiguration(now time.Time, _, _ int64, events []objectapi.Event) {
+	for _, e := range events {
+		if e.Type == objectapi.EventPut {
+			f.takeConfiguration(now, e.Object)
+		}
+	}
+}
+
+func (f *Follower) takeConfiguration(now time.Time, o objectapi.Object) {
+	if o.Name != f.opts.Dialect.Kinds.ConfigurationName {
+		return
+	}
+	f.TakeRaw(now, o.Value, "platform")
+}
+
+// TakeRaw takes over a configuration as the platform holds it, which may have
+// come from another instance.
+func (f *Follower) TakeRaw(now time.Time, value []byte, source string) {
+	cfg, err := f.opts.Dialect.Configuration(value)
+	if err != nil {
+		f.opts.Log.Error().Err(err).Str("source", source).Msg("configuration not understood, the last one stays in force")
+		return
+	}
+	if f.opts.State.Configure(now, cfg, value) {
+		f.opts.Log.Info().Int64("version", cfg.Version).Str("source", source).Int("routes", len(cfg.Routes)).Msg("configuration in force")
+	}
+}
+
+func (f *Follower) listServers(now time.Time, version int64, objects []objectapi.Object) {
+	list := make([]dialect.Server, 0, len(objects))
+	for _, o := range objects {
+		if s, ok := f.server(o); ok {
+			list = append(list, s)
+		}
+	}
+	f.opts.State.ReplaceServers(now, version, list)
+}
+
+// applyServers takes over changes of servers. An entry that can't be read takes
+// the place of the one before: another writer may have replaced it.
+func (f *Follower) applyServers(now time.Time, from, to int64, events []objectapi.Event) {
+	changes := make([]Change, 0, len(events))
+	for _, e := range events {
+		c := Change{ID: e.Object.Name}
+		if e.Type == objectapi.EventPut {
+			if s, ok := f.server(e.Object); ok {
+				c.Server = &s
+			}
+		}
+		line := f.opts.Log.Info().Str("server", c.ID).Int64("version", to).Bool("listed", c.Server != nil)
+		if c.Server != nil {
+			line = line.Str("zone", c.Server.Zone).Bool("leaving", c.Server.Leaving)
+		}
+		line.Msg("backend server")
+		changes = append(changes, c)
+	}
+	f.opts.State.ChangeServers(now, from, to, changes)
+}
+
+func (f *Follower) server(o objectapi.Object) (dialect.Server, bool) {
+	s, err := f.opts.Dialect.Server(o.Name, o.Value)
+	if err != nil {
+		f.opts.Log.Warn().Str("server", o.Name).Err(err).Msg("entry of a backend server not understood")
+		return s, false
+	}
+	return s, true
+}
+
+func (f *Follower) listZones(now time.Time, version int64, objects []objectapi.Object) {
+	zones := make([]string, 0, len(objects))
+	for _, o := range objects {
+		zones = append(zones, o.Name)
+	}
+	if f.opts.State.ReplaceZones(now, version, zones) && len(zones) > 0 {
+		f.opts.Log.Info().Strs("zones", zones).Msg("availability zones taken out")
+	}
+}
--- a/internal/planner/schedule.go
+++ b/internal/planner/schedule.go
@@ -102,12 +102,9 @@
 
 // settle decides the order of the asks that have been collected.
 //
-// Load: an engine with a dozen generations leaves in one and a half seconds,
-// and its link takes a tenth to a quarter of a second for each. Harm: asked for
-// at once, each is stopped behind the whole copies of all others; callers wait
-// for a second, and those that are last are cut with all that was copied of
-// them. In turn, each stands still for a few milliseconds. The smallest go
-// first, as most are saved so where not all can be.
+// In turn, each generation stands still for a few milliseconds; all at once, each
+// would be stopped behind the whole copies of all others. The smallest go first,
+// as most are saved so where not all can be.
 func (s *Schedule) settle(now time.Time, from *link, targets Targets) {
 	if len(from.waiting) == 0 || now.Before(from.decide) {
 		return
@@ -128,9 +125,8 @@
 
 // soonest chooses the target that the copy is at first.
 //
-// Load: two engines of a zone leave at once, and few others are left there.
-// Harm: chosen by free memory, their copies wait for one engine's link, while
-// their own stand idle until they are gone.
+// Chosen by free memory alone, copies of engines that leave together would wait
+// for one engine's link while others stand idle.
 func (s *Schedule) soonest(now time.Time, from *link, targets []Target) (Target, bool) {
 	best := -1
 	var end time.Time
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// successShare is what one success adds. Load: a zone failing under full
-	// demand. Harm: retries multiply the demand on the servers left. Reason:
-	// a tenth more is what servers with normal headroom can take.
+	// successShare is what one success adds: servers with normal headroom can take a
+	// tenth more than the demand.
 	successShare = 0.1
 	// maxTokens bounds what a quiet, healthy hour saves up, so that a failure
 	// after it can't set off a burst; ten is one small server's warm share.
@@ -29,10 +28,8 @@
 	// maxAttempts bounds one request. Every further attempt tells less: after
 	// three servers the fault is seldom the server's.
 	maxAttempts = 3
-	// maxLostAttempts is lower. Load: a request that crashes each server that
-	// runs it. Harm: retries within milliseconds crash the next ones before
-	// their owners have noticed the first. A request that was lost on two
-	// servers is more likely the cause than the victim.
+	// maxLostAttempts is lower: a request that was lost on two servers is more
+	// likely the cause than the victim.
 	maxLostAttempts = 2
 	// baseDelay and maxDelay bound the backoff. Full jitter spreads requests
 	// that failed at the same moment, which else return at the same moment.
