--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
@@ -372,17 +373,19 @@
 // Guards against a request to a zone that is taken out, by an instance that starts
 // and has the configuration and the servers, but not yet the zones.
 func TestStartingInstanceWaitsForZones(t *testing.T) {
-	f := start(t, map[string]http.Handler{"desk-1": &backend{how: answers(http.StatusOK)}})
-	known := f.opts.State
-	f.opts.State = observed.NewState()
-	f.opts.State.Configure(f.clock.now(), configuration(), nil)
-	f.opts.State.ReplaceServers(f.clock.now(), 1, f.list)
-	require.False(t, f.Ready())
-	require.Equal(t, http.StatusServiceUnavailable, f.send("GET", "/read/1", "").StatusCode)
-	f.opts.State.ReplaceZones(f.clock.now(), 2, []string{"zone-a"})
-	require.True(t, f.Ready())
-	f.opts.State = known
-	require.Equal(t, http.StatusOK, f.send("GET", "/read/1", "").StatusCode)
+	now := time.Now()
+	s := &Server{opts: Options{State: observed.NewState(), DenyFresh: denyFresh}, fields: testDialect().Fields}
+	code := func() answer.Code {
+		_, err := s.read(now, app.NewContext(0))
+		return answer.Of(err).Code
+	}
+	s.opts.State.Configure(now, configuration(), nil)
+	s.opts.State.ReplaceServers(now, 1, []dialect.Server{{ID: "desk-1", Service: "desk", Zone: "zone-a"}})
+	require.False(t, s.Ready())
+	require.Equal(t, answer.CodePlatformDown, code())
+	s.opts.State.ReplaceZones(now, 2, []string{"zone-a"})
+	require.True(t, s.Ready())
+	require.NotEqual(t, answer.CodePlatformDown, code())
 }
 
 // An instance is closed before it has begun to serve. It must end all the same.
