--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -215,7 +215,7 @@
 		if failure == nil && placed.Score < leastScore {
 			least, leastScore = g.key, placed.Score
 		}
-		if least == "" && !errors.Is(err, ErrFull) {
+		if failure != nil && !errors.Is(err, ErrFull) {
 			err = failure
 		}
 	}
