--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -111,15 +111,10 @@
 
 // doubt stops grants until a report measured after now.
 //
-// The failure: an engine dies under load and is back within the period of load
-// reports. Its callers repeat at once, their places are free, and the owner
-// still takes it for warm: the new start gets full load and crashes.
-// A broken connection is the first sign of a restart, and the next report names
-// the new start, or the same one when only the connection was lost; then the
-// server got nothing new for one period of reports. Waiting until a new
-// connection showed that the engine no longer knows the request took 50 ms, in
-// which the free places of a busy engine were given away. Later signs of the
-// same restart don't renew the wait.
+// A broken connection is the first sign of a restart, and the next report names the
+// new start, or the same one when only the connection was lost. Until then the
+// server would be taken for warm. Later signs of the same restart don't renew the
+// wait.
 func (s *Server) doubt(now time.Time) {
 	if !s.doubtful() {
 		s.doubted = now
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -134,10 +134,9 @@
 // Gone tells that nothing listens at the server's address any more: its process
 // has ended. It returns what is known to have ended with it.
 //
-// The failure: a request crashes the server's process, which stays dead, so no
-// report ever names another start. Its caller sends it again, and it takes one
-// server after another. A link that refuses connections looks the same; then
-// what was lost on it is suspected in vain, until it finishes elsewhere.
+// A process that stays dead names no other start in a report. A link that refuses
+// connections looks the same; then what was lost on it is suspected in vain, until
+// it finishes elsewhere.
 func (s *Server) Gone(now time.Time) *Restart {
 	s.reachable = false
 	s.gone = s.report.Incarnation
--- a/internal/claim/decide.go
+++ b/internal/claim/decide.go
@@ -56,9 +56,8 @@
 // afterConflict decides what a holder with the given attempt does when its
 // write failed because of the object that is there.
 //
-// Load: callers that repeat through several instances in the same moment,
-// with answers lost on the way. Harm: two effects. Only an own attempt wins,
-// and only a claim under which nothing was sent is written over.
+// Only an own attempt wins, and only a claim under which nothing was sent is
+// written over.
 func afterConflict(now time.Time, f found, attempt, fingerprint string) step {
 	switch {
 	case f.version == 0:
--- a/internal/engineorder/engineorder.go
+++ b/internal/engineorder/engineorder.go
@@ -29,11 +29,8 @@
 
 const (
 	// loadSlots is how many loads read from the weight store at the same time,
-	// in the whole fleet. Load: an operator moves a model to a hundred engines.
-	// Harm: the store's rate is shared, so all loads take a hundred times as
-	// long, and those that engines start by themselves after a crash with
-	// them. Two keep the store busy while one load begins or ends; more would
-	// not finish sooner, since the rate is the store's.
+	// in the whole fleet. Two keep the store busy while one load begins or ends;
+	// more would not finish sooner, since the rate is the store's.
 	loadSlots = 2
 	// workers bounds the orders of one instance at the same time.
 	workers = loadSlots
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -86,12 +86,12 @@
 		return
 	}
 	g.submit("news", func() {
-		if !g.resting(r.ID) {
+		if !g.inBackoff(r.ID) {
 			copied := *m
 			if _, err := g.call(ctx, r.Peer, newsProcedure, newsTimeout, &copied); err == nil || ctx.Err() != nil {
 				return
 			}
-			g.rest(r.ID)
+			g.backOff(r.ID)
 		}
 		if depth == maxDepth {
 			return
@@ -153,14 +153,14 @@
 	return missing
 }
 
-// restFor is how long an instance that couldn't be told news is told past.
-const restFor = 1500 * time.Millisecond
+// newsBackoff is how long an instance that couldn't be told news is told past.
+const newsBackoff = 1500 * time.Millisecond
 
 // seen remembers which news have come, and who couldn't be told any.
 type seen struct {
 	mu      sync.Mutex
 	origins map[string]origin
-	resting map[string]time.Time
+	backoff map[string]time.Time
 }
 
 type origin struct {
@@ -169,7 +169,7 @@
 	window uint64
 }
 
-func newSeen() *seen { return &seen{origins: map[string]origin{}, resting: map[string]time.Time{}} }
+func newSeen() *seen { return &seen{origins: map[string]origin{}, backoff: map[string]time.Time{}} }
 
 // first reports whether news comes for the first time.
 func (s *seen) first(id string, started, sequence int64) bool {
@@ -197,20 +197,20 @@
 	return true
 }
 
-func (g *Gossip) rest(id string) {
+func (g *Gossip) backOff(id string) {
 	g.seen.mu.Lock()
 	defer g.seen.mu.Unlock()
-	g.seen.resting[id] = g.opts.Now().Add(restFor)
+	g.seen.backoff[id] = g.opts.Now().Add(newsBackoff)
 	g.opts.Log.Info().Str("instance", id).Msg("instance can't be told news")
 }
 
-func (g *Gossip) resting(id string) bool {
+func (g *Gossip) inBackoff(id string) bool {
 	now := g.opts.Now()
 	g.seen.mu.Lock()
 	defer g.seen.mu.Unlock()
-	until, ok := g.seen.resting[id]
+	until, ok := g.seen.backoff[id]
 	if ok && !now.Before(until) {
-		delete(g.seen.resting, id)
+		delete(g.seen.backoff, id)
 		return false
 	}
 	return ok
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -72,7 +72,7 @@
 // DefaultStallThreshold is four times the target of 42 ms between tokens.
 const DefaultStallThreshold = 168 * time.Millisecond
 
-// Run offers the work and returns what was measured.
+// Run offers the work and returns the report.
 func Run(ctx context.Context, opts Options) (measure.Report, error) {
 	opts = opts.withDefaults()
 	requests, err := workload.Generate(opts.Workload)
--- a/internal/loadgen/measure/report.go
+++ b/internal/loadgen/measure/report.go
@@ -116,7 +116,7 @@
 	Missing     int64 `json:"missing"`
 }
 
-// ProcessReport is what one process cost in a run.
+// ProcessReport is what one process cost.
 type ProcessReport struct {
 	PID           int     `json:"pid"`
 	CPUSeconds    float64 `json:"cpuSeconds"`
--- a/internal/member/outage.go
+++ b/internal/member/outage.go
@@ -4,10 +4,8 @@
 
 const (
 	// outagePeers is how many instances drawn at random are asked in each round
-	// of a large roster while the platform doesn't confirm it. Of 350, with a
-	// fifth of heartbeats lost and the platform gone silent, none is without a
-	// majority at any time; with three, and two fifths of the instances cut off,
-	// the rest had gaps (a trial on a made-up clock, as in the test).
+	// of a large roster while the platform doesn't confirm it. With
+	// fewer, some of 350 instances are without a majority at times.
 	outagePeers = 6
 	// hurry divides the period of the heartbeats when an outage begins. A
 	// platform that goes silent is noticed three quarters of a lease after it
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -60,11 +60,8 @@
 // greeted marks as many strangers as may be in flight, those first that were
 // not asked for longest.
 //
-// The failure: a zone or a region dies, its instances leave the roster, and the
-// list still names them here. Each heartbeat to them lasts until its timeout.
-// Were they to take all places, those on which leases rest would be put off,
-// and owners that are well would lose their servers. Half of the places are
-// left to these.
+// Half of the places are left to those on which leases rest: a lost zone's
+// instances are still listed, and each heartbeat to them lasts until its timeout.
 func (m *Member) greeted(now time.Time, strangers []roster.Instance) []roster.Instance {
 	room := maxStrangers
 	for _, in := range strangers {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -30,10 +30,9 @@
 	RunFor time.Duration
 }
 
-// DefaultTiming is for loads from a weight store that is shared. Harm: with a
-// RunFor under the longest load, an order found open is taken for over while
-// it still changes the engine. Ten minutes is several times the load of a
-// large model; only who takes over from a dead holder ever waits for it.
+// DefaultTiming is for loads from a weight store that is shared. With a RunFor
+// under the longest load, an order found open would be taken for over while it
+// still changes the engine; only who takes over from a dead holder waits for it.
 var DefaultTiming = Timing{SendWithin: 2 * time.Second, RunFor: 10 * time.Minute}
 
 // Record is the value of the platform's object.
@@ -70,9 +69,8 @@
 func (Take) decision() {}
 func (Wait) decision() {}
 
-// Decide decides about an order for an engine whose object is held. Load: an
-// operator repeats an order while its first holder is paused or dead. Harm:
-// the first order takes effect after the second and undoes it. An engine that
+// Decide decides about an order for an engine whose object is held: an
+// order must not take effect after one that was given later. An engine that
 // checks numbers refuses the first then, so nothing is waited for. Else an
 // open order counts as under way until it must have been sent and run, counted
 // from when it was seen: it was taken before that.
--- a/internal/owner/pace.go
+++ b/internal/owner/pace.go
@@ -59,11 +59,8 @@
 // older than it would be at the usual rate, another is asked for by setting
 // fresh, which is closed when it has come or failed.
 //
-// The failure: an idle server restarts, which at the usual rate would show half
-// a second later, and a burst of requests meets it while it is cold. If it did
-// restart right after its last report, all that runs on it are the permits given
-// since; as many as the cold limit it can handle. The others wait for the report,
-// some milliseconds.
+// A server that restarted right after its last report may get as many permits as
+// its cold limit; the others wait for the report, some milliseconds.
 func (e *entry) rests(now time.Time, usual time.Duration) bool {
 	if e.fresh == nil && e.calm(now, usual) && now.Sub(e.polledAt) >= usual {
 		e.fresh = make(chan struct{})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -42,8 +42,8 @@
 	// placeTimeout bounds the call for an engine, which takes some
 	// milliseconds: a prompt is read in a few hundred.
 	placeTimeout = 60 * time.Millisecond
-	// restAfter is how long a planner that didn't answer isn't asked again.
-	restAfter = time.Second
+	// plannerBackoff is how long a planner that didn't answer isn't asked again.
+	plannerBackoff = time.Second
 	// maxGroups is how many groups are asked for room, maxOwners how many
 	// instances for a plan of one group.
 	maxGroups = 3
@@ -290,7 +290,7 @@
 		return merry.Wrap(ErrFull, merry.WithCause(err))
 	}
 	p.mu.Lock()
-	p.backoff[address] = p.opts.Now().Add(restAfter)
+	p.backoff[address] = p.opts.Now().Add(plannerBackoff)
 	p.mu.Unlock()
 	p.caller.Drop()
 	p.opts.Log.Info().Str("peer", address).Err(err).Msg("planner doesn't answer")
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -305,11 +305,8 @@
 // the time since the start before tells of the demand, not of the server, and
 // isn't learned from.
 //
-// The failure: after a calm time the gap was ten seconds, and of a burst that the
-// server could have started within a few all but the first were refused for
-// their deadline and told to come back half a minute later. Taking such a time
-// as a bound from above was tried: it made the gap too short under full load,
-// so that twice as many requests waited in vain until their deadline.
+// Learned from, a calm time would have a burst refused that the server could start
+// at once.
 func (q *Queue) Granted(now time.Time) {
 	q.lastGrant = now
 }
--- a/internal/relay/lag.go
+++ b/internal/relay/lag.go
@@ -4,11 +4,8 @@
 
 // lag measures how long a caller has been behind.
 //
-// Load: callers on bad links that read some tokens each few seconds, or none.
-// Harm: a full ring stops the reading from the engine; each token that such a
-// caller takes would start the wait anew, and the generation would hold its
-// permit for hours instead of the minute that the engine needs. So the time
-// counts from the first full ring until half of it is free: a caller that was
+// A full ring stops the reading from the engine, and each token that a slow caller
+// takes must not start the wait anew. So the time counts from the first full ring until half of it is free: a caller that was
 // only interrupted empties it at once.
 type lag struct {
 	since time.Time
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -3,14 +3,11 @@
 import "time"
 
 const (
-	// DefaultGrace is how long a caller may take to come back. Load: a zone's
-	// link breaks and all its callers reconnect. Harm: with none, each loses
-	// its generation; without end, vanished callers fill engine memory. A
-	// client reconnects within seconds, or its person has given up.
+	// DefaultGrace is how long a caller may take to come back: a client
+	// reconnects within seconds, and vanished callers fill engine memory.
 	DefaultGrace = 20 * time.Second
 	// silenceLimit ends a generation that gives nothing although the engine
-	// knows it. Harm: its slot and memory are held for ever. Two minutes is
-	// well over a preempted generation's wait for memory.
+	// knows it. It is well over a preempted generation's wait for memory.
 	silenceLimit = 2 * time.Minute
 	// patientSilenceLimit is longer: patient work yields memory first.
 	patientSilenceLimit = 10 * time.Minute
--- a/internal/roster/guard.go
+++ b/internal/roster/guard.go
@@ -4,9 +4,8 @@
 
 // Guard stops an instance that was paused from sending.
 //
-// The failure: a process is frozen, or starved, for longer than it takes others
-// to replace it or to take out a zone. When it thaws, it acts on what was true
-// before: it sends to a server that has another owner, or to a zone taken out.
+// A process that was frozen, or starved, for longer than it takes others to
+// replace it would act on what was true before.
 // A duty calls [Guard.Beat] every [BeatEvery]; a gap longer than [MaxGap] can
 // only mean a pause. From then on nothing new is sent until configuration and
 // roster were confirmed by calls made after the gap. It is enough because the
--- a/internal/roster/lease.go
+++ b/internal/roster/lease.go
@@ -27,9 +27,8 @@
 // Lease decides for which backend servers one instance may give permits, and
 // how much of their limit.
 //
-// The load it is for: a cold server that can handle one or two requests while
-// every instance may ask for it. The harm: two instances that both believe
-// they own it fill it twice, and it crashes.
+// A cold server that can handle one or two requests crashes when two instances
+// both believe that they own it.
 //
 // The rules, for a server with owner O, deputy D and cold limit C:
 //
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -58,12 +58,8 @@
 // explained reports whether the loss of a zone explains the only crash of a
 // request.
 //
-// The failure: a zone is lost with hundreds of servers. Thousands of requests
-// that ran there would each run alone on a server, for a quarter of an hour, and
-// push the one that does crash servers out of the table. A request that ran on
-// two servers when they ended stays a suspect, whatever else ended with them:
-// a crashing one that its caller sends again at once ends several servers of one
-// zone within seconds.
+// Else a lost zone would make suspects of thousands of requests. A request that ran
+// on two servers when they ended stays one, whatever else ended with them.
 func (t *Table) explained(e Entry) bool {
 	return len(e.Crashes) == 1 && t.zones.together(e.Crashes[0], t.params.Together, t.params.Within)
 }
--- a/test/process/address.go
+++ b/test/process/address.go
@@ -24,10 +24,8 @@
 // listening on the first of each for as long as it lives, and gives every other
 // port of them once.
 //
-// The failure: a port was drawn at random, found free and closed again. Until
-// its process came to listen, or while a test had it killed to start it again,
-// another test, also of another binary, could draw the same one; the process
-// then ended with "address already in use" and its deployment never got ready.
+// A port that is found free and closed again could be drawn by another test binary
+// before its process listens.
 var ports struct {
 	mu     sync.Mutex
 	guards []net.Listener
