Carry roll-outs out: canary, verdict, shift and roll-back

Cause: a roll-out that the platform orders was unknown; servers of the new version got their full part of the requests at once, whatever they answered, and no state was ever written.

Change: the platform's orders are followed (observed, only where the deployment has bounds for them), versions of servers that appear wait until the roll-outs were read after them. internal/rolloutpeer reports what each instance sees of the two versions to one that decides and holds its lease; requests are drawn for the canary one by one, second attempts go to the old version; in the shift all requests go to the new version and generations move there; the status is written under the object's revision. /rollouts on the metrics address shows it all.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/objectapi"
+	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
@@ -65,6 +66,7 @@
 	ConfigurationName string
 	Servers           string
 	DrainedZones      string
+	Rollouts          string
 }
 
 // Server is a backend server as the platform lists it.
@@ -73,6 +75,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is that of the server's software.
+	Version string
 	Slots   int
 	// Leaving servers take no new requests.
 	Leaving bool
@@ -82,6 +86,23 @@
 	Born int64
 }
 
+// Rollout is an order to move a service's traffic to one version of its servers,
+// as the platform holds it.
+type Rollout struct {
+	// Name is the object's, Revision that of its last change.
+	Name     string
+	Revision int64
+	// ID tells apart orders of the same name.
+	ID       string
+	Service  string
+	To       string
+	Duration time.Duration
+	// Told is what the platform was told so far: none, canary for one that runs, or
+	// an end. Stage is how far it has come, as far as is known here.
+	Told  rollout.Stage
+	Stage rollout.Stage
+}
+
 // Report is what a model engine says of itself.
 type Report struct {
 	Leaving bool
@@ -126,6 +147,9 @@
 	// Configuration, Server and Report read messages.
 	Configuration func(value []byte) (routes.Configuration, error)
 	Server        func(id string, value []byte) (Server, error)
+	// Rollout reads an order and its status, RolloutStatus writes a status.
+	Rollout       func(o objectapi.Object) (Rollout, error)
+	RolloutStatus func(to string, stage rollout.Stage) []byte
 	Report        func(body []byte) (Report, error)
 	// Move writes the order to move, Moved reads its answer.
 	Move  func(m Move) []byte
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -15,6 +15,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/routes"
 	"pollenspindle.example/pollenspindle/internal/service"
 	"pollenspindle.example/pollenspindle/internal/upstream"
@@ -71,6 +72,10 @@
 	number, dials int
 	// runs counts the servers that may have run the request.
 	runs int
+	// sent is when the present attempt began.
+	sent time.Time
+	// resumes is set for a stream that goes on.
+	resumes bool
 	// last is a failure that a server answered, for want of something better.
 	last *upstream.Answer
 }
@@ -94,6 +99,7 @@
 		if refusal != nil {
 			return s.giveUp(c, r, t, refusal)
 		}
+		t.sent = s.opts.Now()
 		res := s.attempt(ctx, c, r, place, t)
 		again, err := s.judge(ctx, c, r, place, t, res)
 		if !again {
@@ -230,6 +236,7 @@
 	case answered:
 		t.number++
 		t.runs++
+		s.note(place.Server, r, rollout.Answer, res.answer.Status >= http.StatusInternalServerError, now.Sub(t.sent))
 		if res.answer.Status < http.StatusInternalServerError {
 			s.opts.Retries.Succeeded(now, r.service.Name)
 			return false, s.write(c, r, res.answer)
@@ -242,6 +249,9 @@
 		if ctx.Err() != nil {
 			return false, s.gone(c)
 		}
+		if res.cause == retry.CauseLost {
+			s.note(place.Server, r, rollout.Answer, true, 0)
+		}
 		if res.cause != retry.CauseRefused {
 			s.opts.Balancer.Failed(now, id)
 		}
--- a/internal/ingress/carry.go
+++ b/internal/ingress/carry.go
@@ -148,12 +148,13 @@
 	s.opts.State.MarkLeaving(server.ID)
 }
 
-// leaves reports whether the engine of a run is about to leave.
+// leaves reports whether the engine of a run is about to leave, or its version is
+// taken out of service.
 func (s *Server) leaves(one *run) bool {
 	e := one.request.service.Engine
 	if e == nil || !e.Moves || one.position() == 0 {
 		return false
 	}
 	server, listed := s.opts.State.Server(one.server().ID)
-	return !listed || server.Leaving
+	return !listed || server.Leaving || s.opts.State.Vacated(server.ID)
 }
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -10,7 +10,10 @@
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/planner"
+	"pollenspindle.example/pollenspindle/internal/rollout"
+	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 )
 
 const (
@@ -21,6 +24,9 @@
 
 // place chooses a backend server.
 func (s *Server) place(ctx context.Context, now time.Time, r *request, t *attempts) (balancer.Place, *answer.Failure) {
+	if place, ok := s.canary(now, r, t); ok {
+		return place, nil
+	}
 	place, err := s.planned(ctx, r, t)
 	switch {
 	case err == nil:
@@ -44,6 +50,33 @@
 	return balancer.Place{}, f
 }
 
+// canary chooses a server of a version whose roll-out is a canary, for the first
+// attempt of a request that is drawn for it. A second attempt goes to the version
+// that is known to be good.
+func (s *Server) canary(now time.Time, r *request, t *attempts) (balancer.Place, bool) {
+	if s.opts.Rollouts == nil || t.number+t.dials > 0 || t.resumes {
+		return balancer.Place{}, false
+	}
+	servers, ok := s.opts.Rollouts.Canary(now, r.service.Name, s.rng().Float64())
+	if !ok {
+		return balancer.Place{}, false
+	}
+	picked, ok := s.opts.Balancer.Pick(now, balancer.Request{
+		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Prompt: r.prompt, Instances: s.opts.Instances(), Whole: true,
+	}, servers).(balancer.Picked)
+	if ok {
+		s.log.Info().Str("request", r.id).Str("server", picked.Place.Server.ID).Str("version", picked.Place.Server.Version).Msg("request placed on a canary")
+	}
+	return picked.Place, ok
+}
+
+// note counts an answer for a roll-out of the server's service.
+func (s *Server) note(server observed.Server, r *request, aspect rollout.Aspect, failed bool, took time.Duration) {
+	if s.opts.Rollouts != nil {
+		s.opts.Rollouts.Note(s.opts.Now(), server, rolloutpeer.Seen{Route: r.route.Name, Aspect: aspect, Failed: failed, Took: took})
+	}
+}
+
 func (s *Server) full() *answer.Failure {
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "all backend servers are full")
 	f.RetryAfter = fullRetryAfter + time.Duration(s.rng().Int64N(int64(fullSpread)))
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -91,6 +91,9 @@
 	if r.service, ok = table.Service(name); !ok {
 		return nil, s.unready()
 	}
+	if s.opts.Rollouts != nil && !s.opts.Rollouts.Joined(now, name) {
+		return nil, s.unready()
+	}
 	s.bound(c, r)
 	r.header = s.passedOn(c)
 	body, err := readBody(c, table.Limits.MaxBodyBytes)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -43,6 +43,7 @@
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/internal/upstream"
 )
 
@@ -86,6 +87,9 @@
 	// Planner plans with the other instances where generations begin and when
 	// they are copied; nil means that this one decides alone.
 	Planner *planner.Planner
+	// Rollouts carries roll-outs out with the other instances; nil means that none
+	// are ordered.
+	Rollouts *rolloutpeer.Peer
 	// DenyFresh is how long ago the configuration may have been confirmed for a
 	// request to be denied by it; 0 for the default.
 	DenyFresh time.Duration
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -17,6 +17,7 @@
 	"pollenspindle.example/pollenspindle/internal/eventstream"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/service"
 	"pollenspindle.example/pollenspindle/internal/upstream"
 )
@@ -59,12 +60,14 @@
 	r      *request
 	run    *run
 	writer *breakable
+	// sent is when the present server was sent the request.
+	sent time.Time
 }
 
 // stream sends a request for a stream to one server and relays what comes. The
 // first event may take limit.
 func (s *Server) stream(ctx context.Context, c *app.RequestContext, r *request, place balancer.Place, limit time.Duration) result {
-	f := &flow{s: s, c: c, r: r, run: s.runs.begin(r, place)}
+	f := &flow{s: s, c: c, r: r, run: s.runs.begin(r, place), sent: s.opts.Now()}
 	defer f.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -95,7 +98,11 @@
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
 		case !f.run.stopped():
-			s.opts.Balancer.Failed(s.opts.Now(), f.run.server().ID)
+			server := f.run.server()
+			s.opts.Balancer.Failed(s.opts.Now(), server.ID)
+			if known, ok := s.opts.State.Server(server.ID); ok && !known.Leaving {
+				s.note(server, r, rollout.Answer, true, 0)
+			}
 		}
 		if resumes >= maxResumes {
 			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
@@ -152,6 +159,7 @@
 // relay passes events on until the stream ends. Nil means that it is whole.
 func (f *flow) relay(ctx context.Context, a *upstream.Answer) error {
 	f.run.reads(f.s.opts.Now(), a.Abort)
+	pace := paceMeter{}
 	events := eventstream.NewSplitter(a.Stream())
 	for {
 		ev, err := events.Next()
@@ -185,8 +193,36 @@
 		if err := f.writer.Flush(); err != nil {
 			return errCallerGone
 		}
-		f.run.advance(f.s.opts.Now(), ev.ID)
+		now := f.s.opts.Now()
+		f.run.advance(now, ev.ID)
+		if took, ok := pace.event(now); ok {
+			f.s.note(f.run.server(), f.r, rollout.Pace, false, took)
+		}
+	}
+}
+
+// paceEvents is over how many events of a stream their pace is taken.
+const paceEvents = 16
+
+// paceMeter takes the time between the events of a stream at one server.
+type paceMeter struct {
+	since time.Time
+	count int
+}
+
+// event counts an event, and returns the mean time between two after each
+// stretch.
+func (m *paceMeter) event(now time.Time) (time.Duration, bool) {
+	if m.since.IsZero() {
+		m.since = now
+		return 0, false
+	}
+	if m.count++; m.count < paceEvents {
+		return 0, false
 	}
+	mean := now.Sub(m.since) / paceEvents
+	m.since, m.count = now, 0
+	return mean, true
 }
 
 // wholeAfterAll reports whether a stream has ended by itself although its engine
@@ -204,6 +240,7 @@
 	f.s.head(f.c, a)
 	f.writer = &breakable{ExtWriter: resp.NewChunkedBodyWriter(&f.c.Response, f.c.GetWriter()), conn: f.c.GetConn()}
 	f.c.Response.HijackWriter(f.writer)
+	f.s.note(f.run.server(), f.r, rollout.Answer, false, f.s.opts.Now().Sub(f.sent))
 	f.s.log.Info().Str("request", f.r.id).Str("server", f.run.server().ID).Dur("took", f.s.opts.Now().Sub(f.r.start)).Msg("stream begins")
 }
 
@@ -290,7 +327,7 @@
 // resumeAnew starts a resumable stream at another server, after its last event.
 func (f *flow) resumeAnew(ctx context.Context) (*upstream.Answer, error) {
 	now := f.s.opts.Now()
-	t := &attempts{excluded: map[string]bool{f.run.server().ID: true}}
+	t := &attempts{excluded: map[string]bool{f.run.server().ID: true}, resumes: true}
 	if _, ok := f.s.opts.Retries.Decide(now, f.r.service.Name, retry.Attempt{Number: 1, Cause: retry.CauseLost}).(retry.Again); !ok {
 		return nil, errNotResumable
 	}
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -35,6 +37,8 @@
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
+	"pollenspindle.example/pollenspindle/internal/rollout"
+	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
 	"pollenspindle.example/pollenspindle/pkg/iostreams"
@@ -101,9 +105,11 @@
 	table  *membership.Table
 	gossip *gossip.Gossip
 	plans  *planner.Planner
-	follow *observed.Follower
-	server *ingress.Server
-	duties sync.WaitGroup
+	// rollouts is nil where the deployment has no bounds for them.
+	rollouts *rolloutpeer.Peer
+	follow   *observed.Follower
+	server   *ingress.Server
+	duties   sync.WaitGroup
 }
 
 // Run runs an instance until ctx ends and its requests are over.
@@ -155,10 +161,11 @@
 		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, Bounds: bounds, Own: placing.Load, Changed: placing.Changed(), Failures: placing.Failures,
 		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
 	})
+	in.buildRollouts(key, objects, placing)
 	in.gossip, err = gossip.New(gossip.Options{
 		Table: in.table, State: in.state, Key: key,
 		Seeds:  in.seeds(),
-		Status: in.status, Handlers: in.plans.Handlers(),
+		Status: in.status, Handlers: in.handlers(),
 		TakeRaw: func(now time.Time, value []byte, source string) { in.follow.TakeRaw(now, value, source) },
 		Log:     telemetry.Part(in.tel.Log, "peer"), Scope: in.tel.Metrics.SubScope("peer"), Now: time.Now,
 	})
@@ -178,7 +185,7 @@
 	for _, one := range []struct {
 		millis float64
 		bound  *time.Duration
-	}{{cfg.ConfigurationMillis, &b.Configuration}, {cfg.DrainMillis, &b.Servers}, {cfg.EvacuationMillis, &b.Zones}} {
+	}{{cfg.ConfigurationMillis, &b.Configuration}, {cfg.DrainMillis, &b.Servers}, {cfg.EvacuationMillis, &b.Zones}, {cfg.RollbackMillis, &b.Rollouts}} {
 		if one.millis > 0 {
 			*one.bound = time.Duration(one.millis * float64(time.Millisecond))
 		}
@@ -186,6 +193,29 @@
 	return b
 }
 
+// buildRollouts makes the part in roll-outs, where the deployment has bounds for
+// them.
+func (in *instance) buildRollouts(key peer.Key, objects *objectapi.Client, placing *balancer.Balancer) {
+	if in.cfg.RollbackMillis <= 0 {
+		return
+	}
+	in.rollouts = rolloutpeer.New(rolloutpeer.Options{
+		Self: in.cfg.Instance, Table: in.table, Key: key, State: in.state, Objects: objects, Dialect: in.opts.Dialect,
+		Limits: rollout.Limits{Share: in.cfg.ExposureShare, Slack: in.cfg.ExposureSlack},
+		Left:   func(server string) int { return placing.On(server).Running }, Announce: func() { in.gossip.Announce() },
+		Log: telemetry.Part(in.tel.Log, "rollout"), Scope: in.tel.Metrics.SubScope("rollout"), Now: time.Now,
+	})
+}
+
+// handlers answer other instances beside the gossip, by path.
+func (in *instance) handlers() map[string]http.Handler {
+	all := in.plans.Handlers()
+	if in.rollouts != nil {
+		maps.Copy(all, in.rollouts.Handlers())
+	}
+	return all
+}
+
 func (in *instance) seeds() []string {
 	return strings.FieldsFunc(in.cfg.Seeds, func(r rune) bool { return r == ',' || r == ' ' })
 }
@@ -230,7 +260,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans,
+		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans, Rollouts: in.rollouts,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
@@ -264,6 +294,9 @@
 	in.duties.Go(func() { in.follow.Run(duties) })
 	in.duties.Go(func() { in.gossip.Run(duties) })
 	in.duties.Go(func() { in.plans.Run(duties) })
+	if in.rollouts != nil {
+		in.duties.Go(func() { in.rollouts.Run(duties) })
+	}
 	in.duties.Go(func() { in.watchSettings(duties) })
 	in.duties.Go(func() { in.serveMetrics(duties) })
 	go func() { failed <- in.gossip.Serve(duties, peers) }()
@@ -360,8 +393,19 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", in.tel.Handler)
+	mux.HandleFunc("/rollouts", in.showRollouts)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(l)
 }
+
+// showRollouts answers operators who ask how roll-outs go.
+func (in *instance) showRollouts(w http.ResponseWriter, _ *http.Request) {
+	shown := []rolloutpeer.Shown{}
+	if in.rollouts != nil {
+		shown = in.rollouts.Show()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(shown)
+}
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -120,6 +120,20 @@
 	return all
 }
 
+// Running returns all instances that aren't known to be down, this one included.
+func (t *Table) Running() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []Record{t.self.Record}
+	for _, e := range t.rest {
+		if !e.Down {
+			out = append(out, e.Record)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Owners returns up to n ready instances for a key, the first to be asked first.
 // Instances that know of each other choose the same ones for a key (rendezvous
 // hashing), and different ones for others.
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -60,6 +60,12 @@
 	Name    string          `json:"name"`
 	Version int64           `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Created tells apart objects that had the same name one after the other, where
+	// the platform says so.
+	Created json.RawMessage `json:"created,omitempty"`
+	// Status is what the object's keeper says of it, where the platform has it
+	// apart from the value.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // EventType tells puts from deletes.
@@ -79,7 +85,7 @@
 
 // Call describes one call to the platform, for metrics.
 type Call struct {
-	// Op is get, list, create, update, delete or watch.
+	// Op is get, list, create, update, status, delete or watch.
 	Op       string
 	Kind     string
 	Duration time.Duration
@@ -111,6 +117,7 @@
 	opCreate = "create"
 	opUpdate = "update"
 	opDelete = "delete"
+	opStatus = "status"
 	opWatch  = "watch"
 )
 
@@ -215,6 +222,12 @@
 	return c.put(ctx, Operation{Op: opUpdate, Kind: kind, Name: name, Version: version, Value: value})
 }
 
+// UpdateStatus replaces the status of the object that has the given version, or
+// answers *[ConflictError].
+func (c *Client) UpdateStatus(ctx context.Context, kind, name string, version int64, status []byte) (Object, error) {
+	return c.put(ctx, Operation{Op: opStatus, Kind: kind, Name: name, Version: version, Value: status})
+}
+
 func (c *Client) put(ctx context.Context, op Operation) (Object, error) {
 	var o Object
 	err := c.write(ctx, op, func(body []byte) (err error) {
--- a/internal/objectapi/form.go
+++ b/internal/objectapi/form.go
@@ -10,7 +10,8 @@
 
 // Operation is one call, apart from how it is written.
 type Operation struct {
-	// Op is get, list, create, update, delete or watch.
+	// Op is get, list, create, update, status, delete or watch. A status is an
+	// update of what an object's keeper says of it, and Value is that.
 	Op   string
 	Kind string
 	Name string
@@ -70,6 +71,8 @@
 		return Message{Method: http.MethodPut, Path: object, Header: http.Header{"If-None-Match": {"*"}}, Body: o.Value}
 	case opUpdate:
 		return Message{Method: http.MethodPut, Path: object, Header: ifMatch, Body: o.Value}
+	case opStatus:
+		return Message{Method: http.MethodPut, Path: object + "/status", Header: ifMatch, Body: o.Value}
 	case opDelete:
 		return Message{Method: http.MethodDelete, Path: object, Header: ifMatch}
 	}
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -104,6 +104,9 @@
 	if opts.Bounds == (Bounds{}) {
 		opts.Bounds = DefaultBounds
 	}
+	if opts.Bounds.Rollouts > 0 {
+		opts.State.FollowRollouts()
+	}
 	if opts.Announce == nil {
 		opts.Announce = func() {}
 	}
@@ -143,7 +146,11 @@
 		{part: Configuration, kind: kinds.Configuration, wait: longWait, bound: bounds.Configuration, list: f.listConfiguration, apply: f.applyConfiguration},
 		{part: Servers, kind: kinds.Servers, wait: serversWait, bound: bounds.Servers, list: f.listServers, apply: f.applyServers},
 		{part: Zones, kind: kinds.DrainedZones, wait: longWait, bound: bounds.Zones, list: f.listZones},
+		{part: Rollouts, kind: kinds.Rollouts, wait: longWait, bound: bounds.Rollouts, list: f.listRollouts},
 	} {
+		if one.bound == 0 {
+			continue
+		}
 		all = append(all, one)
 		duties.Go(func() { f.follow(ctx, one) })
 	}
--- a/internal/observed/news.go
+++ b/internal/observed/news.go
@@ -53,6 +53,8 @@
 	Servers []dialect.Server `json:"servers,omitempty"`
 	// Zones are the availability zones taken out.
 	Zones []string `json:"zones,omitempty"`
+	// Rollouts are all roll-outs with their stages.
+	Rollouts []dialect.Rollout `json:"rollouts,omitempty"`
 }
 
 // Versions returns what is known here.
@@ -99,7 +101,7 @@
 func (s *State) UpdateSince(now time.Time, configuration, servers int64) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{Versions: s.seen(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones))}
+	u := Update{Versions: s.seen(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
 	if s.versions[Configuration] > configuration {
 		u.Configuration = s.raw
 	}
@@ -135,6 +137,12 @@
 		s.touchAll()
 		s.publish()
 	}
+	if v := u.Versions[Rollouts].Version; v > s.versions[Rollouts] {
+		s.replaceRollouts(now, v, u.Rollouts)
+	}
+	for i := range u.Rollouts {
+		s.setStage(u.Rollouts[i].ID, u.Rollouts[i].Stage)
+	}
 	s.takeVersions(now, &u.Versions)
 	return missing
 }
@@ -160,6 +168,9 @@
 func (s *State) takeVersions(now time.Time, v *Versions) {
 	for i := range v {
 		p, seen := Part(i), &v[i]
+		if seen.Version == 0 {
+			continue
+		}
 		if seen.Mark == s.marks[p] && seen.Version > s.versions[p] && p != Configuration {
 			if p == Servers {
 				s.noteGap(s.versions[p], seen.Version)
@@ -213,9 +224,12 @@
 	if r.At.After(s.readings[p].At) {
 		s.readings[p] = r
 	}
-	if p == Configuration || p == Zones {
+	if p != Servers {
 		s.confirm(r.At, p)
 	}
+	if p == Rollouts {
+		s.settle(r.At)
+	}
 }
 
 // alter notes a change of what is known.
@@ -233,6 +247,15 @@
 	return s.suspect[p]
 }
 
+// Doubt notes that the platform has other roll-outs than are known here.
+func (s *State) Doubt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspect[Rollouts].IsZero() {
+		s.suspect[Rollouts] = now
+	}
+}
+
 func zonesMark(zones map[string]bool) uint64 {
 	return xxhash.Sum64String(strings.Join(slices.Sorted(maps.Keys(zones)), "\n"))
 }
--- a/internal/observed/offered.go
+++ b/internal/observed/offered.go
@@ -15,6 +15,9 @@
 	mark := s.marks[Servers] + e.mark()
 	if known, ok := s.servers[e.ID]; ok {
 		mark -= known.mark()
+		if known.Born == e.Born && known.Version == e.Version {
+			e.retired, e.Since = known.retired, known.Since
+		}
 		s.touchServer(known.Service, e.ID)
 	}
 	s.servers[e.ID] = e
@@ -51,29 +54,37 @@
 	if !e.missingSince.IsZero() {
 		return 0
 	}
-	return xxhash.Sum64String(e.ID + "\n" + e.Address + "\n" + e.Zone + "\n" + strconv.FormatBool(e.listed.Leaving))
+	return xxhash.Sum64String(e.ID + "\n" + e.Address + "\n" + e.Zone + "\n" + strconv.FormatBool(e.listed.Leaving) + "\n" + e.Version)
 }
 
 // publish makes the lists that requests are placed on, those of services without
 // a change excepted: of thousands of servers some change each second.
 func (s *State) publish() {
-	offered := maps.Clone(*s.offered.Load())
+	offered, canaries := maps.Clone(*s.offered.Load()), maps.Clone(*s.canaries.Load())
 	for service, ids := range s.touched {
-		offered[service] = s.relist(service, offered[service], ids)
+		offered[service] = s.relist(service, offered[service], ids, false)
+		canaries[service] = s.relist(service, canaries[service], ids, true)
 	}
 	clear(s.touched)
 	s.offered.Store(&offered)
+	s.canaries.Store(&canaries)
 	select {
 	case s.changed <- struct{}{}:
 	default:
 	}
 }
 
-// relist returns a service's list with the entries of some ids as they are now.
-func (s *State) relist(service string, list []Server, ids map[string]bool) []Server {
+// relist returns a service's list, or that of its canaries, with the entries of
+// some ids as they are now.
+func (s *State) relist(service string, list []Server, ids map[string]bool, canaries bool) []Server {
 	var fresh []Server
 	for id := range ids {
-		if e, ok := s.servers[id]; ok && e.Service == service && !e.Leaving && !s.zones[e.Zone] {
+		e, ok := s.servers[id]
+		if !ok || e.Service != service || e.Leaving || s.zones[e.Zone] {
+			continue
+		}
+		stable, canary := s.track(&e)
+		if canaries && canary || !canaries && stable {
 			fresh = append(fresh, e.Server)
 		}
 	}
--- a/internal/observed/refresh.go
+++ b/internal/observed/refresh.go
@@ -8,9 +8,10 @@
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 )
 
-// Bounds are the times in which what the platform has is to be in force.
+// Bounds are the times in which what the platform has is to be in force. Roll-outs
+// aren't followed where theirs is 0.
 type Bounds struct {
-	Configuration, Servers, Zones time.Duration
+	Configuration, Servers, Zones, Rollouts time.Duration
 }
 
 // DefaultBounds are those of a deployment that has none of its own.
@@ -34,6 +35,9 @@
 	suspectAfter = 300 * time.Millisecond
 	suspectStep  = 40 * time.Millisecond
 	maxSuspect   = time.Second
+	// heldStep is how much longer the second one that watches waits than the first
+	// before it reads roll-outs for a version that has appeared.
+	heldStep = 300 * time.Millisecond
 	// aloneMost bounds the pause between reads that fail of an instance that
 	// doesn't watch.
 	aloneMost = 5 * time.Second
@@ -117,6 +121,12 @@
 		}
 	}
 	read := f.opts.State.Reading(one.part).At
+	if one.part == Rollouts && watching {
+		held := f.opts.State.HeldSince()
+		if !held.IsZero() && read.Before(held) && now.Sub(held) >= time.Duration(rank)*heldStep {
+			return true
+		}
+	}
 	if read.IsZero() {
 		if watching {
 			return false
--- a/internal/observed/servers.go
+++ b/internal/observed/servers.go
@@ -80,6 +80,9 @@
 	}
 	first := s.versions[Servers] == 0
 	s.confirm(now, Servers)
+	if first {
+		s.seeFirst(list)
+	}
 	listed := make(map[string]bool, len(list))
 	for i := range list {
 		listed[list[i].ID] = true
@@ -97,6 +100,12 @@
 		s.noteGap(s.versions[Servers], version)
 	}
 	s.versions[Servers] = version
+	for service := range s.kept.rollouts {
+		if first {
+			s.retire(service)
+			s.touchService(service)
+		}
+	}
 	s.publish()
 	return true
 }
@@ -114,7 +123,9 @@
 		if same && known.Leaving == c.Server.Leaving && c.Server.ColdFor == 0 {
 			return
 		}
-		s.put(entry{Server: Server{Server: *c.Server, ColdUntil: now.Add(c.Server.ColdFor)}, listed: *c.Server})
+		e := entry{Server: Server{Server: *c.Server, ColdUntil: now.Add(c.Server.ColdFor), Since: now}, listed: *c.Server}
+		s.see(now, &e)
+		s.put(e)
 		if same {
 			return
 		}
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -31,11 +31,12 @@
 	Configuration Part = iota
 	Servers
 	Zones
+	Rollouts
 	parts
 )
 
 // Parts returns all parts.
-func Parts() []Part { return []Part{Configuration, Servers, Zones} }
+func Parts() []Part { return []Part{Configuration, Servers, Zones, Rollouts} }
 
 // Valid reports whether there is such a part.
 func (p Part) Valid() bool { return p >= Configuration && p < parts }
@@ -53,6 +54,8 @@
 type Server struct {
 	dialect.Server
 	ColdUntil time.Time
+	// Since is when this start of the server was first listed.
+	Since time.Time
 }
 
 // entry is what is known of a server.
@@ -63,6 +66,8 @@
 	listed dialect.Server
 	// missingSince is set while the entry is missing after an outage.
 	missingSince time.Time
+	// retired servers end with a roll-out that is completed.
+	retired bool
 }
 
 // State is what an instance knows. It is safe for concurrent use.
@@ -71,12 +76,15 @@
 	// offered are the servers by service that requests are placed on, in order of
 	// their ids. Neither the map nor the lists are changed once made.
 	offered atomic.Pointer[map[string][]Server]
+	// canaries are those of the new version of a roll-out that is a canary.
+	canaries atomic.Pointer[map[string][]Server]
 
 	mu      sync.Mutex
 	servers map[string]entry
 	// touched are the servers, by service, that changed since offered was made.
 	touched   map[string]map[string]bool
 	zones     map[string]bool
+	kept      versions
 	versions  [parts]int64
 	confirmed [parts]time.Time
 	// marks tell contents apart, whatever their versions.
@@ -101,10 +109,12 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	s := &State{
-		servers: map[string]entry{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, changed: make(chan struct{}, 1),
+		servers: map[string]entry{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, kept: newVersions(), changed: make(chan struct{}, 1),
 	}
 	s.marks[Zones] = zonesMark(s.zones)
+	s.marks[Rollouts] = rolloutsMark(nil)
 	s.offered.Store(&map[string][]Server{})
+	s.canaries.Store(&map[string][]Server{})
 	return s
 }
 
@@ -120,8 +130,8 @@
 func (s *State) Known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, version := range s.versions {
-		if version == 0 {
+	for p, version := range s.versions {
+		if version == 0 && (Part(p) != Rollouts || s.kept.followed) {
 			return false
 		}
 	}
@@ -129,9 +139,13 @@
 }
 
 // Servers returns the backend servers of a service that may get new requests:
-// those that aren't leaving and whose availability zone isn't taken out.
+// those that aren't leaving, whose availability zone isn't taken out and whose
+// version is in service.
 func (s *State) Servers(service string) []Server { return (*s.offered.Load())[service] }
 
+// Canaries returns the servers of a version whose roll-out is a canary.
+func (s *State) Canaries(service string) []Server { return (*s.canaries.Load())[service] }
+
 // Server returns a backend server, or false when it isn't listed.
 func (s *State) Server(id string) (Server, bool) {
 	s.mu.Lock()
--- a/internal/observed/take.go
+++ b/internal/observed/take.go
@@ -81,6 +81,26 @@
 	return s, true
 }
 
+func (f *Follower) listRollouts(now time.Time, version int64, objects []objectapi.Object) {
+	list := make([]dialect.Rollout, 0, len(objects))
+	for _, o := range objects {
+		r, err := f.opts.Dialect.Rollout(o)
+		if err != nil {
+			f.opts.Log.Warn().Str("rollout", o.Name).Err(err).Msg("roll-out not understood")
+			continue
+		}
+		list = append(list, r)
+	}
+	before := f.opts.State.Mark(Rollouts)
+	if !f.opts.State.ReplaceRollouts(now, version, list) || f.opts.State.Mark(Rollouts) == before {
+		return
+	}
+	for _, r := range f.opts.State.Rollouts() {
+		f.opts.Log.Info().Str("service", r.Service).Str("to", r.To).Dur("duration", r.Duration).Int64("revision", r.Revision).
+			Stringer("stage", r.Stage).Msg("roll-out ordered")
+	}
+}
+
 func (f *Follower) listZones(now time.Time, version int64, objects []objectapi.Object) {
 	zones := make([]string, 0, len(objects))
 	for _, o := range objects {
--- a/internal/rollout/participant.go
+++ b/internal/rollout/participant.go
@@ -84,6 +84,19 @@
 	return Stable
 }
 
+// Share returns the probability with which a request goes to the new version.
+func (p *Participant) Share(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.stage == StageCanary && now.Before(p.leased):
+		return p.share
+	case p.stage.Serves(true):
+		return 1
+	}
+	return 0
+}
+
 // Age returns for how long the order is known.
 func (p *Participant) Age(now time.Time) time.Duration {
 	p.mu.Lock()
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -48,8 +48,15 @@
 	ConfigurationMillis float64 `json:"configurationMillis"`
 	DrainMillis         float64 `json:"drainMillis"`
 	EvacuationMillis    float64 `json:"evacuationMillis"`
-	Log                 Log     `json:"log"`
-	Trace               Trace   `json:"trace"`
+	// RollbackMillis is the time in which a version that answers badly is to get
+	// nothing more; 0 where no roll-outs are ordered. ExposureShare is the part of
+	// a service's requests that a version may get before it is known to be good,
+	// and ExposureSlack how many requests more.
+	RollbackMillis float64 `json:"rollbackMillis"`
+	ExposureShare  float64 `json:"exposureShare"`
+	ExposureSlack  float64 `json:"exposureSlack"`
+	Log            Log     `json:"log"`
+	Trace          Trace   `json:"trace"`
 }
 
 // leastMemory is what an instance with nothing to do needs, in megabytes.
@@ -114,6 +121,7 @@
 		{"graceSeconds", s.GraceSeconds}, {"coldOverage", s.ColdOverage}, {"coldSlack", s.ColdSlack},
 		{"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack},
 		{"configurationMillis", s.ConfigurationMillis}, {"drainMillis", s.DrainMillis}, {"evacuationMillis", s.EvacuationMillis},
+		{"rollbackMillis", s.RollbackMillis}, {"exposureShare", s.ExposureShare}, {"exposureSlack", s.ExposureSlack},
 	} {
 		if f.value < 0 {
 			c.add(f.path, "must not be negative")
