Fetch configurations in place of sending them with news

A configuration of 1,650 routes is 465 KB. It travelled in the news, from two origins, written and compressed anew for each of up to four receivers and for the children of those that couldn't be reached: 12.6 ms of a whole core each (6.3 writing, 6.4 compressing; benchmark), 66 ms at 0.192, with six to nine messages a second to unreachable instances while 21 were cut off. A receiver spent 6.7 ms on reading the message and 13.7 on the configuration, also where it had it already.

Change: news, probes and syncs say which version there is; who lacks it fetches it from the one that told it, compressed once, 18 KB, and passes the news on after that. What was read from the same bytes isn't decoded again.

Test first: TestNewsLeavesTheConfigurationOut (the message was 533 KB before).

An instance of the version before gets configurations from the platform alone while both versions run.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -96,9 +96,12 @@
 	wake      chan struct{}
 	sequence  atomic.Int64
 	published published
-	syncing   atomic.Bool
-	urgent    pending
-	joining   atomic.Bool
+	packed    packed
+	// configuring is held while a configuration is fetched.
+	configuring sync.Mutex
+	syncing     atomic.Bool
+	urgent      pending
+	joining     atomic.Bool
 	// joined is set once another instance has told what it knows.
 	joined atomic.Bool
 }
@@ -241,6 +244,7 @@
 	mux.Handle(helpProcedure, g.handler(helpProcedure, g.answerHelp))
 	mux.Handle(newsProcedure, g.handler(newsProcedure, g.answerNews))
 	mux.Handle(syncProcedure, g.handler(syncProcedure, g.answerSync))
+	mux.HandleFunc(configurationProcedure, g.serveConfiguration)
 	for path, handler := range g.opts.Handlers {
 		mux.Handle(path, handler)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -147,6 +148,36 @@
 	all(func(o *one) bool { r, _ := o.table.Get(children[0].ID); return r.Down })
 }
 
+// Guards against large configurations being written and compressed anew for every
+// message to every instance, also those that can't be reached.
+func TestNewsLeavesTheConfigurationOut(t *testing.T) {
+	a := startOne(t, "a", secret("k"), false)
+	a.learn(400_000, nil, "s1")
+	data, err := json.Marshal(a.news(time.Now()))
+	require.NoError(t, err)
+	require.Less(t, len(data), 4000)
+
+	b := startOne(t, "b", secret("k"), false)
+	b.table.Merge(time.Now(), []membership.Record{a.table.Self()})
+	a.table.Merge(time.Now(), []membership.Record{b.table.Self()})
+	_, err = a.call(t.Context(), b.address, newsProcedure, testTimeout, a.news(time.Now()))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.has(400_000, 0, 1) }, testTimeout, testTick)
+	first, err := a.packed.of(a.state)
+	require.NoError(t, err)
+	again, err := a.packed.of(a.state)
+	require.NoError(t, err)
+	require.Same(t, &first[0], &again[0])
+}
+
+// Guards against a configuration being handed to one who doesn't hold the key.
+func TestConfigurationNeedsTheKey(t *testing.T) {
+	a, b := startOne(t, "a", secret("k"), false), startOne(t, "b", secret("x"), false)
+	a.learn(3, nil, "s1")
+	_, err := b.fetchConfiguration(t.Context(), a.address)
+	require.ErrorIs(t, err, ErrFetch)
+}
+
 // Guards against seeds that tell everything to each of hundreds of instances that
 // start in the same moment.
 func TestSeedTellsNewcomersOfAFew(t *testing.T) {
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -33,10 +33,10 @@
 	return records
 }
 
-// published are the versions that were last told to all.
+// published is the version of the servers that was last told to all.
 type published struct {
-	begun                  bool
-	configuration, servers int64
+	begun   bool
+	servers int64
 }
 
 // tell passes on what this instance has heard, as one message for all that came
@@ -61,11 +61,10 @@
 	p := &g.published
 	if !p.begun {
 		p.begun = true
-		p.configuration, _ = g.opts.State.Version(observed.Configuration)
 		p.servers, _ = g.opts.State.Version(observed.Servers)
 	}
-	u := g.opts.State.UpdateSince(now, p.configuration, p.servers)
-	p.configuration, p.servers = u.Versions[observed.Configuration].Version, u.Versions[observed.Servers].Version
+	u := g.opts.State.UpdateSince(now, p.servers)
+	p.servers = u.Versions[observed.Servers].Version
 	return &Message{
 		Origin: g.self, Started: g.opts.Table.Self().Started, Sequence: g.sequence.Add(1),
 		Records: g.urgent.take(), Update: &u,
@@ -110,7 +109,16 @@
 	if m.Update != nil {
 		g.apply(ctx, now, m.Update, m.From)
 	}
-	if fresh {
+	sender, ok := g.opts.Table.Get(m.From)
+	lacks := ok && m.Update != nil && g.lacksConfiguration(&m.Update.Versions)
+	switch {
+	case fresh && lacks:
+		// Those that are told by this instance fetch it here.
+		g.submit("news", func() {
+			g.configureFrom(ctx, sender.Peer)
+			g.pass(ctx, m)
+		})
+	case fresh:
 		g.pass(ctx, m)
 	}
 	return &Message{}
@@ -118,7 +126,7 @@
 
 // apply takes over an update, and fetches what is missing before it.
 func (g *Gossip) apply(ctx context.Context, now time.Time, u *observed.Update, from string) {
-	if !g.takeUpdate(now, u, from) && !g.opts.State.Behind(u.Versions) {
+	if !g.takeUpdate(now, u, from) && !g.opts.State.BehindBeside(u.Versions, observed.Configuration) {
 		return
 	}
 	if r, ok := g.opts.Table.Get(from); ok {
@@ -129,9 +137,6 @@
 // takeUpdate takes over an update and reports whether changes are missing before
 // it.
 func (g *Gossip) takeUpdate(now time.Time, u *observed.Update, from string) (missing bool) {
-	if len(u.Configuration) > 0 {
-		g.opts.TakeRaw(now, u.Configuration, from)
-	}
 	parts := []observed.Part{observed.Servers, observed.Zones}
 	var before [2]uint64
 	for i, p := range parts {
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/membership"
+	"pollenspindle.example/pollenspindle/internal/observed"
 )
 
 // probeNext probes the instance whose turn it is. Now and then one that is down
@@ -99,9 +100,10 @@
 		g.submit("sync", func() { g.sync(ctx, address, g.opts.Table.All(g.opts.Now())) })
 	}
 	g.opts.State.Told(now, *m.Versions)
-	if g.opts.State.Behind(*m.Versions) {
+	if g.opts.State.BehindBeside(*m.Versions, observed.Configuration) {
 		g.fetch(ctx, address)
 	}
+	g.configure(ctx, m.Versions, address)
 }
 
 // merge takes over records. That this instance runs, where others take it for
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"pollenspindle.example/pollenspindle/internal/membership"
+	"pollenspindle.example/pollenspindle/internal/observed"
 )
 
 // joinRecords is how many records an instance is told that knows nobody yet. It
@@ -59,6 +60,9 @@
 		return
 	}
 	g.takeUpdate(now, m.Update, m.From)
+	if g.lacksConfiguration(&m.Update.Versions) {
+		g.configureFrom(ctx, address)
+	}
 }
 
 // answerSync returns the records that the sender lacks, where it tells its own,
@@ -84,8 +88,11 @@
 	g.merge(now, m.Records)
 	answer := &Message{Records: lacks, Instances: g.opts.Table.Count(now)}
 	if m.Versions != nil {
-		if r, ok := g.opts.Table.Get(m.From); ok && g.opts.State.Behind(*m.Versions) {
-			g.fetch(context.WithoutCancel(ctx), r.Peer)
+		if r, ok := g.opts.Table.Get(m.From); ok {
+			if g.opts.State.BehindBeside(*m.Versions, observed.Configuration) {
+				g.fetch(context.WithoutCancel(ctx), r.Peer)
+			}
+			g.configure(context.WithoutCancel(ctx), m.Versions, r.Peer)
 		}
 		u := g.opts.State.UpdateFor(now, *m.Versions)
 		answer.Update = &u
--- a/internal/observed/news.go
+++ b/internal/observed/news.go
@@ -1,7 +1,6 @@
 package observed
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -41,8 +40,6 @@
 // Update brings another instance up to date.
 type Update struct {
 	Versions Versions `json:"versions"`
-	// Configuration is set where the other one's is older.
-	Configuration json.RawMessage `json:"configuration,omitempty"`
 	// Changes of the servers lead to the version in Versions from the version
 	// From, and from any that isn't below Least.
 	From    int64    `json:"from"`
@@ -80,11 +77,15 @@
 }
 
 // Behind reports whether another instance has something newer.
-func (s *State) Behind(v Versions) bool {
+func (s *State) Behind(v Versions) bool { return s.BehindBeside(v, -1) }
+
+// BehindBeside reports whether another instance has something newer beside one
+// part.
+func (s *State) BehindBeside(v Versions, beside Part) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for p := range v {
-		if v[p].Version > s.versions[p] && v[p].Mark != s.marks[p] {
+		if Part(p) != beside && v[p].Version > s.versions[p] && v[p].Mark != s.marks[p] {
 			return true
 		}
 	}
@@ -93,18 +94,15 @@
 
 // UpdateFor returns what an instance needs that has these versions.
 func (s *State) UpdateFor(now time.Time, has Versions) Update {
-	return s.UpdateSince(now, has[Configuration].Version, has[Servers].Version)
+	return s.UpdateSince(now, has[Servers].Version)
 }
 
-// UpdateSince returns what has changed since versions of the configuration and
-// of the servers.
-func (s *State) UpdateSince(now time.Time, configuration, servers int64) Update {
+// UpdateSince returns what has changed since a version of the servers. The
+// configuration isn't part of it: it is large, and fetched by those that lack it.
+func (s *State) UpdateSince(now time.Time, servers int64) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := Update{Versions: s.seen(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
-	if s.versions[Configuration] > configuration {
-		u.Configuration = s.raw
-	}
 	changes, least, ok := s.since(now, servers)
 	if !ok || servers == 0 {
 		u.Whole, u.Servers = true, s.all(now)
@@ -114,8 +112,7 @@
 	return u
 }
 
-// Apply takes over an update, its configuration excepted, and reports whether
-// changes are missing before it.
+// Apply takes over an update and reports whether changes are missing before it.
 func (s *State) Apply(now time.Time, u *Update) (missing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/observed/news_test.go
+++ b/internal/observed/news_test.go
@@ -41,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			tt.known(s)
-			u := source.UpdateSince(start, 0, tt.since)
+			u := source.UpdateSince(start, tt.since)
 			require.Equal(t, tt.whole, u.Whole)
 			require.Equal(t, tt.missing, s.Apply(start, &u))
 			require.Equal(t, tt.want, ids(s))
@@ -58,7 +58,7 @@
 	a.ReplaceServers(start, 1, []dialect.Server{server("x")})
 	a.ChangeServers(start, 1, 2, []Change{put("s", 5*time.Second)})
 	now := start.Add(3 * time.Second)
-	u := a.UpdateSince(now, 0, 1)
+	u := a.UpdateSince(now, 1)
 	b.ReplaceServers(start, 1, []dialect.Server{server("x")})
 	b.Apply(now, &u)
 	told, ok := b.Server("s")
@@ -78,7 +78,7 @@
 	reader.Returned(after)
 	reader.ReplaceServers(after, 20, nil)
 	reader.Read(after, Servers)
-	u := reader.UpdateSince(after, 0, 10)
+	u := reader.UpdateSince(after, 10)
 	require.False(t, told.Apply(after, &u))
 	require.Equal(t, []string{"a", "b"}, ids(told))
 	told.Sweep(after.Add(returnTime))
@@ -130,7 +130,7 @@
 						}
 						r.ReplaceServers(start, version, list)
 					}
-					sent = append(sent, r.UpdateSince(start, 0, max(1, published[i])))
+					sent = append(sent, r.UpdateSince(start, max(1, published[i])))
 					published[i], _ = r.Version(Servers)
 				}
 			case 2:
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -13,6 +13,7 @@
 package observed
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sync"
@@ -183,11 +184,23 @@
 	return true
 }
 
-// RawConfiguration returns what the configuration was read from.
-func (s *State) RawConfiguration() []byte {
+// RawConfiguration returns what the configuration was read from, and its version.
+func (s *State) RawConfiguration() ([]byte, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.raw
+	return s.raw, s.versions[Configuration]
+}
+
+// SameConfiguration confirms the configuration where this is what it was read from,
+// and reports whether it is.
+func (s *State) SameConfiguration(now time.Time, raw []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.raw == nil || !bytes.Equal(raw, s.raw) {
+		return false
+	}
+	s.confirm(now, Configuration)
+	return true
 }
 
 // Confirm notes that a part is heard of.
--- a/internal/observed/take.go
+++ b/internal/observed/take.go
@@ -31,6 +31,9 @@
 // TakeRaw takes over a configuration as the platform holds it, which may have
 // come from another instance.
 func (f *Follower) TakeRaw(now time.Time, value []byte, source string) {
+	if f.opts.State.SameConfiguration(now, value) {
+		return
+	}
 	cfg, err := f.opts.Dialect.Configuration(value)
 	if err != nil {
 		f.opts.Log.Error().Err(err).Str("source", source).Msg("configuration not understood, the last one stays in force")
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -223,11 +223,6 @@
 	return fleet{instances: 350, rate: 500, routes: fiveRoutes, usual: usual, servers: 40, duration: 20 * time.Second}
 }
 
-func (f fleet) with(change func(*fleet)) fleet {
-	change(&f)
-	return f
-}
-
 // Prints how many roll-outs of each kind are completed, at made-up fleets of 7, 70
 // and 350 instances, and checks the bounds on bad versions.
 func TestVerdicts(t *testing.T) {
