Eject servers that fail what others answer

An answer with a status of 500 and more never counted against its server, and 24 instances of a zone see 0.3 answers a second each from one server, too few to tell.

Change: the instances of a zone report their answers to one of them, which compares each server with the others by kind of request (a read in seven fails on every server) and ejects it for 4 s and more; bookings wait for 3 s longer than reads. At most four in ten servers of a service are ejected. Rollout and outlier weigh with the same likelihood ratio, internal/evidence.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -91,6 +91,8 @@
 	Whole bool
 	// Anyway has servers chosen that are full, up to a bound: the request waits.
 	Anyway bool
+	// Repeatable requests may be sent again, and try servers that have failed.
+	Repeatable bool
 	// Spread, if not 0, spreads requests over all servers with room, by this
 	// key, in place of choosing the freest.
 	Spread uint64
@@ -126,6 +128,8 @@
 	others func(now time.Time, id string) Load
 	// heard, if set, returns failures that were seen elsewhere.
 	heard func(now time.Time, id string) float64
+	// avoid, if set, reports servers that are to be left alone.
+	avoid func(now time.Time, id string, repeatable bool) bool
 	// changed has an entry after the own load has changed. It holds one: a reader
 	// that is behind looks at the newest load anyway.
 	changed chan struct{}
--- a/internal/balancer/failures.go
+++ b/internal/balancer/failures.go
@@ -8,12 +8,30 @@
 // HearFailures has failures that another balancer counts count here too.
 func (b *Balancer) HearFailures(heard func(now time.Time, id string) float64) { b.heard = heard }
 
+// Avoid has servers left alone that avoid reports, unless all others are full.
+// Repeatable says whether the request may be sent again.
+func (b *Balancer) Avoid(avoid func(now time.Time, id string, repeatable bool) bool) { b.avoid = avoid }
+
+// avoidCost is what a server that is to be left alone weighs: more than a full one.
+const avoidCost = 4.0
+
+func (b *Balancer) avoided(now time.Time, r Request, id string) float64 {
+	if b.avoid != nil && b.avoid(now, id, r.Repeatable) {
+		return avoidCost
+	}
+	return 0
+}
+
 // Failures returns how often a server failed lately, each failure counting less
 // as time goes by.
 func (b *Balancer) Failures(now time.Time, id string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failures(now, id)
+	n := b.failures(now, id)
+	if b.avoid != nil && b.avoid(now, id, false) {
+		n++
+	}
+	return n
 }
 
 func (b *Balancer) failures(now time.Time, id string) float64 {
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -13,9 +13,9 @@
 // score is what a server weighs for a request; the least is chosen.
 func (b *Balancer) score(now time.Time, r Request, s *observed.Server, load float64) float64 {
 	if r.Spread != 0 {
-		return spread(r, s, load+b.failures(now, s.ID)*failureCost)
+		return spread(r, s, load+b.failures(now, s.ID)*failureCost+b.avoided(now, r, s.ID))
 	}
-	score := b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost
+	score := b.rng.Float64()*noise + b.failures(now, s.ID)*failureCost + b.avoided(now, r, s.ID)
 	if r.Service.Engine != nil {
 		score += b.wait(now, s.ID) + load*memoryCost + max(0, load-scarce)*scarceCost
 	} else {
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -36,6 +36,7 @@
 	}
 	choice := s.opts.Balancer.Pick(now, balancer.Request{
 		Service: r.service, Zone: s.opts.Zone, Tokens: r.prompt + r.output, Prompt: r.prompt, Excluded: t.excluded, Instances: s.opts.Instances(),
+		Repeatable: r.route.Repeatable(),
 	}, s.opts.State.Servers(r.service.Name))
 	switch choice := choice.(type) {
 	case balancer.Picked:
@@ -70,8 +71,12 @@
 	return picked.Place, ok
 }
 
-// note counts an answer for a roll-out of the server's service.
+// note counts an answer, beside those of other servers and for a roll-out of the
+// server's service.
 func (s *Server) note(server observed.Server, r *request, aspect rollout.Aspect, failed bool, took time.Duration) {
+	if s.opts.Outliers != nil && aspect == rollout.Answer {
+		s.opts.Outliers.Note(server, r.route.Name, failed)
+	}
 	if s.opts.Rollouts != nil {
 		s.opts.Rollouts.Note(s.opts.Now(), server, rolloutpeer.Seen{Route: r.route.Name, Aspect: aspect, Failed: failed, Took: took})
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -41,6 +41,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/outlierpeer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
@@ -90,6 +91,8 @@
 	// Rollouts carries roll-outs out with the other instances; nil means that none
 	// are ordered.
 	Rollouts *rolloutpeer.Peer
+	// Outliers finds servers that fail what others answer; nil for none.
+	Outliers *outlierpeer.Peer
 	// DenyFresh is how long ago the configuration may have been confirmed for a
 	// request to be denied by it; 0 for the default.
 	DenyFresh time.Duration
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -34,6 +34,7 @@
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/outlierpeer"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/retry"
@@ -107,6 +108,7 @@
 	plans  *planner.Planner
 	// rollouts is nil where the deployment has no bounds for them.
 	rollouts *rolloutpeer.Peer
+	outliers *outlierpeer.Peer
 	follow   *observed.Follower
 	server   *ingress.Server
 	duties   sync.WaitGroup
@@ -162,6 +164,11 @@
 		Log: telemetry.Part(in.tel.Log, "planner"), Now: time.Now,
 	})
 	in.buildRollouts(key, objects, placing)
+	in.outliers = outlierpeer.New(outlierpeer.Options{
+		Self: cfg.Instance, Table: in.table, Key: key, Log: telemetry.Part(in.tel.Log, "outlier"),
+		Scope: in.tel.Metrics.SubScope("outlier"), Now: time.Now,
+	})
+	placing.Avoid(in.outliers.Avoid)
 	in.gossip, err = gossip.New(gossip.Options{
 		Table: in.table, State: in.state, Key: key,
 		Seeds:  in.seeds(),
@@ -210,6 +217,7 @@
 // handlers answer other instances beside the gossip, by path.
 func (in *instance) handlers() map[string]http.Handler {
 	all := in.plans.Handlers()
+	maps.Copy(all, in.outliers.Handlers())
 	if in.rollouts != nil {
 		maps.Copy(all, in.rollouts.Handlers())
 	}
@@ -260,7 +268,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans, Rollouts: in.rollouts,
+		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans, Rollouts: in.rollouts, Outliers: in.outliers,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
@@ -294,6 +302,7 @@
 	in.duties.Go(func() { in.follow.Run(duties) })
 	in.duties.Go(func() { in.gossip.Run(duties) })
 	in.duties.Go(func() { in.plans.Run(duties) })
+	in.duties.Go(func() { in.outliers.Run(duties) })
 	if in.rollouts != nil {
 		in.duties.Go(func() { in.rollouts.Run(duties) })
 	}
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -148,6 +148,39 @@
 	return owners[:min(n, len(owners))]
 }
 
+// OwnerIn returns the ready instance of an availability zone for a key.
+func (t *Table) OwnerIn(zone, key string) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cached := zone + "\n" + key
+	owners, ok := t.derived.owners[cached]
+	if !ok {
+		owners = t.ownersIn(zone, key)
+		t.derived.owners[cached] = owners
+	}
+	if len(owners) == 0 {
+		return Record{}, false
+	}
+	return owners[0], true
+}
+
+func (t *Table) ownersIn(zone, key string) []Record {
+	var best *Record
+	add := func(r *Record) {
+		if r.Zone == zone && r.Ready && !r.Down && (best == nil || weight(key, r.ID) > weight(key, best.ID)) {
+			best = r
+		}
+	}
+	add(&t.self.Record)
+	for _, e := range t.rest {
+		add(&e.Record)
+	}
+	if best == nil {
+		return nil
+	}
+	return []Record{*best}
+}
+
 // maxOwners is how many owners of a key are remembered.
 const maxOwners = 3
 
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -3,8 +3,9 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
+
+	"pollenspindle.example/pollenspindle/internal/evidence"
 )
 
 const (
@@ -19,10 +20,6 @@
 	leastServers = 2
 )
 
-// effects are the alternatives that the judge weighs against no change: by how
-// much of what was good before a bad version fails, or is slow.
-var effects = []float64{0.03, 0.08, 0.2, 0.5}
-
 // Evidence is how much more likely what was seen is with a bad version than with
 // one like the old, and where it is greatest.
 type Evidence struct {
@@ -109,29 +106,22 @@
 	return out
 }
 
-// share is a number of events among a number of answers.
-type share struct{ events, number int }
-
-func (s share) plus(t share) share { return share{s.events + t.events, s.number + t.number} }
-
-func (s share) minus(t share) share { return share{s.events - t.events, s.number - t.number} }
-
 // comparison sets the share of one kind of event among the new version's answers
 // beside that among the old one's.
 type comparison struct {
 	name   string
-	stable share
-	canary map[string]share
+	stable evidence.Share
+	canary map[string]evidence.Share
 }
 
 // comparisons returns those of each route and aspect, and those of the answers of
 // all routes.
 func comparisons(groups []*group) []comparison {
-	failed := comparison{name: "all routes failed", canary: map[string]share{}}
-	slowed := comparison{name: "all routes slow", canary: map[string]share{}}
+	failed := comparison{name: "all routes failed", canary: map[string]evidence.Share{}}
+	slowed := comparison{name: "all routes slow", canary: map[string]evidence.Share{}}
 	var out []comparison
-	add := func(g *group, kind string, pooled *comparison, of func(*Cell) share) {
-		one := comparison{name: g.route + " " + string(g.aspect) + " " + kind, stable: of(g.stable), canary: map[string]share{}}
+	add := func(g *group, kind string, pooled *comparison, of func(*Cell) evidence.Share) {
+		one := comparison{name: g.route + " " + string(g.aspect) + " " + kind, stable: of(g.stable), canary: map[string]evidence.Share{}}
 		for id, cell := range g.canary {
 			one.canary[id] = of(cell)
 		}
@@ -139,15 +129,17 @@
 		if g.aspect != Answer {
 			return
 		}
-		pooled.stable = pooled.stable.plus(one.stable)
+		pooled.stable = pooled.stable.Plus(one.stable)
 		for id, s := range one.canary {
-			pooled.canary[id] = pooled.canary[id].plus(s)
+			pooled.canary[id] = pooled.canary[id].Plus(s)
 		}
 	}
 	for _, g := range groups {
-		add(g, "failed", &failed, func(c *Cell) share { return share{c.Failed, c.Number} })
+		add(g, "failed", &failed, func(c *Cell) evidence.Share {
+			return evidence.Share{Events: float64(c.Failed), Number: float64(c.Number)}
+		})
 		if limit, ok := slowFrom(g.stable.Times); ok {
-			add(g, "slow", &slowed, func(c *Cell) share { return slow(c.Times, limit) })
+			add(g, "slow", &slowed, func(c *Cell) evidence.Share { return slow(c.Times, limit) })
 		}
 	}
 	return append(out, failed, slowed)
@@ -156,21 +148,21 @@
 // ratio returns the likelihood ratio, without the server of the new version that
 // speaks most for it; 0 where the old version isn't known well enough.
 func (c comparison) ratio() float64 {
-	if c.stable.number < leastStable {
+	if c.stable.Number < leastStable {
 		return 0
 	}
 	all, worst := c.totals()
-	ratio := likelihoodRatio(c.stable, all)
+	ratio := evidence.Ratio(evidence.Pair{Usual: c.stable, Seen: all})
 	if len(c.canary) >= leastServers {
-		ratio = min(ratio, likelihoodRatio(c.stable, all.minus(worst)))
+		ratio = min(ratio, evidence.Ratio(evidence.Pair{Usual: c.stable, Seen: all.Minus(worst)}))
 	}
 	return ratio
 }
 
-func (c comparison) totals() (all, worst share) {
+func (c comparison) totals() (all, worst evidence.Share) {
 	for _, s := range c.canary {
-		all = all.plus(s)
-		if s.events > worst.events {
+		all = all.Plus(s)
+		if s.Events > worst.Events {
 			worst = s
 		}
 	}
@@ -180,7 +172,7 @@
 // String returns the comparison as operators read it.
 func (c comparison) String() string {
 	all, _ := c.totals()
-	return fmt.Sprintf("%s: %d of %d, old version %d of %d", c.name, all.events, all.number, c.stable.events, c.stable.number)
+	return fmt.Sprintf("%s: %.0f of %.0f, old version %.0f of %.0f", c.name, all.Events, all.Number, c.stable.Events, c.stable.Number)
 }
 
 // slowFrom returns from which bucket on an answer is slow, by the old version's.
@@ -205,32 +197,13 @@
 	return 0, false
 }
 
-func slow(times map[int]int, limit int) share {
-	var s share
+func slow(times map[int]int, limit int) evidence.Share {
+	var s evidence.Share
 	for b, n := range times {
-		s.number += n
+		s.Number += float64(n)
 		if b >= limit {
-			s.events += n
+			s.Events += float64(n)
 		}
 	}
 	return s
 }
-
-// likelihoodRatio weighs the alternatives with equal weights against the old
-// version's share.
-func likelihoodRatio(base, seen share) float64 {
-	if seen.number == 0 {
-		return 1
-	}
-	// The old version's share is known from its samples alone; half an event and
-	// a standard deviation above keep a small sample from accusing the new one.
-	p := (float64(base.events) + 0.5) / (float64(base.number) + 1)
-	p = min(0.95, p+math.Sqrt(p*(1-p)/float64(base.number)))
-	events, rest := float64(seen.events), float64(seen.number-seen.events)
-	sum := 0.0
-	for _, effect := range effects {
-		q := p + (1-p)*effect
-		sum += math.Exp(events*math.Log(q/p) + rest*math.Log((1-q)/(1-p)))
-	}
-	return sum / float64(len(effects))
-}
