Refuse requests that crash the servers that run them

Cause: on the platform's path a request that ends every server which runs it was bounded by a route's attempts alone; its caller sends it again, through any instance, and each time a server is lost with all that ran there.

Change: a request that was on a server when the connection was lost is a suspect where the server can't be connected to any more and hadn't said that it leaves; its entry goes to all with the news and to instances that start. One that ends well is cleared for all. The table is that of the product's own interface (internal/suspect).

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,7 @@
 	"pollenspindle.example/pollenspindle/internal/observed"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/peerrpc"
+	"pollenspindle.example/pollenspindle/internal/suspect"
 )
 
 const (
@@ -77,6 +78,10 @@
 	Status func() membership.Status
 	// TakeRaw takes over a configuration that another instance has told.
 	TakeRaw func(now time.Time, value []byte, source string)
+	// TakeSuspects takes over requests that were running when servers crashed, and
+	// Suspects returns those that an instance which starts is told; nil for none.
+	TakeSuspects func(now time.Time, entries []suspect.Entry)
+	Suspects     func(now time.Time) []suspect.Entry
 	// Handlers are further calls that instances may make, by path.
 	Handlers map[string]http.Handler
 	Log      zerolog.Logger
@@ -101,6 +106,7 @@
 	configuring sync.Mutex
 	syncing     atomic.Bool
 	urgent      pending
+	suspects    pendingSuspects
 	joining     atomic.Bool
 	// joined is set once another instance has told what it knows.
 	joined atomic.Bool
@@ -112,6 +118,12 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "make pool of calls to instances")
 	}
+	if opts.TakeSuspects == nil {
+		opts.TakeSuspects = func(time.Time, []suspect.Entry) {}
+	}
+	if opts.Suspects == nil {
+		opts.Suspects = func(time.Time) []suspect.Entry { return nil }
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -198,6 +210,8 @@
 	// Digest tells apart which instances the sender knows.
 	Digest uint64           `json:"digest,omitempty"`
 	Update *observed.Update `json:"update,omitempty"`
+	// Suspects are requests that were running when servers crashed.
+	Suspects []suspect.Entry `json:"suspects,omitempty"`
 	// News are told apart by their origin, its start and a count.
 	Origin   string `json:"origin,omitempty"`
 	Started  int64  `json:"started,omitempty"`
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -8,6 +8,7 @@
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/observed"
+	"pollenspindle.example/pollenspindle/internal/suspect"
 )
 
 // maxDepth bounds how far past instances that can't be reached news is told.
@@ -33,6 +34,37 @@
 	return records
 }
 
+// maxSuspects bounds the suspects that wait to be told to all: a zone that is lost
+// makes hundreds, which its loss explains.
+const maxSuspects = 256
+
+// pendingSuspects are suspects that wait to be told to all.
+type pendingSuspects struct {
+	mu      sync.Mutex
+	entries []suspect.Entry
+}
+
+func (p *pendingSuspects) add(entries []suspect.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = append(p.entries, entries[:min(len(entries), maxSuspects-len(p.entries))]...)
+}
+
+func (p *pendingSuspects) take() []suspect.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries := p.entries
+	p.entries = nil
+	return entries
+}
+
+// TellSuspects has all told of requests that were running when servers crashed. It
+// doesn't wait.
+func (g *Gossip) TellSuspects(entries []suspect.Entry) {
+	g.suspects.add(entries)
+	g.Announce()
+}
+
 // published is the version of the servers that was last told to all.
 type published struct {
 	begun   bool
@@ -67,7 +99,7 @@
 	p.servers = u.Versions[observed.Servers].Version
 	return &Message{
 		Origin: g.self, Started: g.opts.Table.Self().Started, Sequence: g.sequence.Add(1),
-		Records: g.urgent.take(), Update: &u,
+		Records: g.urgent.take(), Suspects: g.suspects.take(), Update: &u,
 	}
 }
 
@@ -106,6 +138,7 @@
 	now := g.opts.Now()
 	fresh := g.seen.first(m.Origin, m.Started, m.Sequence)
 	g.merge(now, m.Records)
+	g.opts.TakeSuspects(now, m.Suspects)
 	if m.Update != nil {
 		g.apply(ctx, now, m.Update, m.From)
 	}
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -54,6 +54,7 @@
 	}
 	now = g.opts.Now()
 	g.merge(now, m.Records)
+	g.opts.TakeSuspects(now, m.Suspects)
 	g.opts.Table.Heard(now, m.Instances)
 	g.joined.Store(true)
 	if m.Update == nil {
@@ -86,7 +87,7 @@
 		lacks = lacks[:joinRecords]
 	}
 	g.merge(now, m.Records)
-	answer := &Message{Records: lacks, Instances: g.opts.Table.Count(now)}
+	answer := &Message{Records: lacks, Suspects: g.opts.Suspects(now), Instances: g.opts.Table.Count(now)}
 	if m.Versions != nil {
 		if r, ok := g.opts.Table.Get(m.From); ok {
 			if g.opts.State.BehindBeside(*m.Versions, observed.Configuration) {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -89,6 +89,9 @@
 	if f := s.tooLate(s.opts.Now(), r); f != nil {
 		return f
 	}
+	if f := s.suspected(s.opts.Now(), r); f != nil {
+		return f
+	}
 	t := &attempts{excluded: map[string]bool{}}
 	for {
 		now := s.opts.Now()
@@ -239,6 +242,7 @@
 		s.note(place.Server, r, rollout.Answer, res.answer.Status >= http.StatusInternalServerError, now.Sub(t.sent))
 		if res.answer.Status < http.StatusInternalServerError {
 			s.opts.Retries.Succeeded(now, r.service.Name)
+			s.ranWhole(now, r)
 			return false, s.write(c, r, res.answer)
 		}
 		t.keep(res.answer)
@@ -251,6 +255,7 @@
 		}
 		if res.cause == retry.CauseLost {
 			s.note(place.Server, r, rollout.Answer, true, 0)
+			s.lostWith(place.Server, r)
 		}
 		if res.cause != retry.CauseRefused {
 			s.opts.Balancer.Failed(now, id)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -93,6 +93,8 @@
 	Rollouts *rolloutpeer.Peer
 	// Outliers finds servers that fail what others answer; nil for none.
 	Outliers *outlierpeer.Peer
+	// Suspects are the requests that crash servers; nil for none.
+	Suspects *Suspects
 	// DenyFresh is how long ago the configuration may have been confirmed for a
 	// request to be denied by it; 0 for the default.
 	DenyFresh time.Duration
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -94,12 +94,14 @@
 		case err == nil:
 			s.log.Info().Str("request", r.id).Int64("events", f.run.position()).Dur("took", s.opts.Now().Sub(r.start)).Msg("stream ended")
 			s.opts.Retries.Succeeded(s.opts.Now(), r.service.Name)
+			s.ranWhole(s.opts.Now(), r)
 			return ended{}
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return f.cut(failed{cause: retry.CauseLost, ran: true, err: err})
 		case !f.run.stopped():
 			server := f.run.server()
 			s.opts.Balancer.Failed(s.opts.Now(), server.ID)
+			s.lostWith(server, r)
 			if known, ok := s.opts.State.Server(server.ID); ok && !known.Leaving {
 				s.note(server, r, rollout.Answer, true, 0)
 			}
--- a/internal/ingress/streams_test.go
+++ b/internal/ingress/streams_test.go
@@ -251,6 +251,10 @@
 		w.WriteHeader(s.status)
 		return
 	}
+	if r.Method == http.MethodDelete {
+		// The copy is given back.
+		return
+	}
 	if r.Header.Get("T-From") != "" {
 		refuses(w, r)
 		return
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -41,6 +41,7 @@
 	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/internal/settings"
+	"pollenspindle.example/pollenspindle/internal/suspect"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
 	"pollenspindle.example/pollenspindle/pkg/iostreams"
 )
@@ -109,6 +110,7 @@
 	// rollouts is nil where the deployment has no bounds for them.
 	rollouts *rolloutpeer.Peer
 	outliers *outlierpeer.Peer
+	suspects *ingress.Suspects
 	follow   *observed.Follower
 	server   *ingress.Server
 	duties   sync.WaitGroup
@@ -169,7 +171,10 @@
 		Scope: in.tel.Metrics.SubScope("outlier"), Now: time.Now,
 	})
 	placing.Avoid(in.outliers.Avoid)
+	in.suspects = ingress.NewSuspects()
+	in.suspects.Tell = func(entries []suspect.Entry) { in.gossip.TellSuspects(entries) }
 	in.gossip, err = gossip.New(gossip.Options{
+		TakeSuspects: in.suspects.Merge, Suspects: in.suspects.Newest,
 		Table: in.table, State: in.state, Key: key,
 		Seeds:  in.seeds(),
 		Status: in.status, Handlers: in.handlers(),
@@ -268,7 +273,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: placing,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans, Rollouts: in.rollouts, Outliers: in.outliers,
+		Instances: in.instances, DenyFresh: time.Duration(float64(boundsOf(cfg).Configuration) * denyShare), Addresses: in.callers, Planner: in.plans, Rollouts: in.rollouts, Outliers: in.outliers, Suspects: in.suspects,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.Part(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
