--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,6 +29,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
@@ -102,12 +103,17 @@
 	sequence  atomic.Int64
 	published published
 	packed    packed
+	snapshot  packed
+	// served bounds what is handed over.
+	served *rate.Limiter
 	// configuring is held while a configuration is fetched.
 	configuring sync.Mutex
 	syncing     atomic.Bool
 	urgent      pending
 	suspects    pendingSuspects
 	joining     atomic.Bool
+	// refused is set while an instance that starts was refused what it lacks.
+	refused atomic.Bool
 	// joined is set once another instance has told what it knows.
 	joined atomic.Bool
 }
@@ -130,7 +136,7 @@
 	self := opts.Table.Self().ID
 	return &Gossip{
 		opts: opts, self: self, caller: peerrpc.NewCaller(opts.Key, self, probeTimeout), calls: calls, seen: newSeen(),
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), served: rate.NewLimiter(servedPerSecond, servedPerSecond),
 	}, nil
 }
 
@@ -210,6 +216,8 @@
 	// Digest tells apart which instances the sender knows.
 	Digest uint64           `json:"digest,omitempty"`
 	Update *observed.Update `json:"update,omitempty"`
+	// Snapshot says that what the receiver lacks is to be fetched whole.
+	Snapshot bool `json:"snapshot,omitempty"`
 	// Suspects are requests that were running when servers crashed.
 	Suspects []suspect.Entry `json:"suspects,omitempty"`
 	// News are told apart by their origin, its start and a count.
@@ -259,6 +267,7 @@
 	mux.Handle(newsProcedure, g.handler(newsProcedure, g.answerNews))
 	mux.Handle(syncProcedure, g.handler(syncProcedure, g.answerSync))
 	mux.HandleFunc(configurationProcedure, g.serveConfiguration)
+	mux.HandleFunc(snapshotProcedure, g.serveSnapshot)
 	for path, handler := range g.opts.Handlers {
 		mux.Handle(path, handler)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -163,19 +163,46 @@
 	_, err = a.call(t.Context(), b.address, newsProcedure, testTimeout, a.news(time.Now()))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return b.has(400_000, 0, 1) }, testTimeout, testTick)
-	first, err := a.packed.of(a.state)
+	first, err := a.packed.configuration(a.state)
 	require.NoError(t, err)
-	again, err := a.packed.of(a.state)
+	again, err := a.packed.configuration(a.state)
 	require.NoError(t, err)
 	require.Same(t, &first[0], &again[0])
 }
 
+// Guards against hundreds of instances that start together being told thousands of
+// servers, written and compressed anew for each, by the same few.
+func TestStartIsToldASnapshot(t *testing.T) {
+	seed, newcomer := startOne(t, "seed", secret("k"), false), startOne(t, "new", secret("k"), false)
+	var servers []string
+	for i := range 2000 {
+		servers = append(servers, fmt.Sprintf("engine-%d", i))
+	}
+	seed.learn(3, []string{"z1"}, servers...)
+	newcomer.sync(t.Context(), seed.address, []membership.Record{newcomer.table.Self()})
+	require.True(t, newcomer.has(3, 1, 2000))
+	require.Positive(t, newcomer.state.Age(time.Now(), observed.Servers))
+
+	first, _, err := seed.snapshot.snapshot(time.Now(), seed.state)
+	require.NoError(t, err)
+	again, age, err := seed.snapshot.snapshot(time.Now(), seed.state)
+	require.NoError(t, err)
+	require.Same(t, &first[0], &again[0])
+	require.Less(t, age, snapshotTTL)
+
+	seed.served.AllowN(time.Now(), servedPerSecond)
+	_, _, err = newcomer.fetchPacked(t.Context(), seed.address, snapshotProcedure)
+	require.ErrorIs(t, err, ErrFetch, "one instance hands over to all")
+}
+
 // Guards against a configuration being handed to one who doesn't hold the key.
 func TestConfigurationNeedsTheKey(t *testing.T) {
 	a, b := startOne(t, "a", secret("k"), false), startOne(t, "b", secret("x"), false)
 	a.learn(3, nil, "s1")
-	_, err := b.fetchConfiguration(t.Context(), a.address)
-	require.ErrorIs(t, err, ErrFetch)
+	for _, procedure := range []string{configurationProcedure, snapshotProcedure} {
+		_, _, err := b.fetchPacked(t.Context(), a.address, procedure)
+		require.ErrorIs(t, err, ErrFetch)
+	}
 }
 
 // Guards against seeds that tell everything to each of hundreds of instances that
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -14,10 +14,18 @@
 // same few seeds.
 const joinRecords = 24
 
-// joinSeed asks one of the seeds, one at a time, for other instances and for what
-// is in force.
+// seedOneOfJoins is how many instances are asked for each seed once a seed has too
+// many to hand over to.
+const seedOneOfJoins = 3
+
+// joinSeed asks one of the seeds, or where they have too many to hand over to one of
+// the instances that they have told of, one at a time, for other instances and for
+// what is in force.
 func (g *Gossip) joinSeed(ctx context.Context, rng *rand.Rand) {
 	seeds := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return s == g.opts.Table.Self().Peer })
+	if r, ok := g.opts.Table.Any(rng); ok && (len(seeds) == 0 || g.refused.Load() && rng.IntN(seedOneOfJoins) > 0) {
+		seeds = []string{r.Peer}
+	}
 	if len(seeds) == 0 || !g.joining.CompareAndSwap(false, true) {
 		return
 	}
@@ -57,11 +65,19 @@
 	g.opts.TakeSuspects(now, m.Suspects)
 	g.opts.Table.Heard(now, m.Instances)
 	g.joined.Store(true)
-	if m.Update == nil {
+	u := m.Update
+	switch {
+	case m.Snapshot:
+		if u, err = g.takeSnapshot(ctx, address, m.From); err != nil {
+			g.opts.Log.Info().Str("instance", m.From).Err(err).Msg("snapshot not fetched from another instance")
+			return
+		}
+	case u != nil:
+		g.takeUpdate(now, u, m.From)
+	default:
 		return
 	}
-	g.takeUpdate(now, m.Update, m.From)
-	if g.lacksConfiguration(&m.Update.Versions) {
+	if g.lacksConfiguration(&u.Versions) {
 		g.configureFrom(ctx, address)
 	}
 }
@@ -97,6 +113,9 @@
 		}
 		u := g.opts.State.UpdateFor(now, *m.Versions)
 		answer.Update = &u
+		if u.Whole && len(u.Servers) >= snapshotFrom && g.opts.State.Known() {
+			answer.Update, answer.Snapshot = nil, true
+		}
 	}
 	return answer
 }
--- a/internal/observed/follow.go
+++ b/internal/observed/follow.go
@@ -70,6 +70,10 @@
 	// StartWait is how long an instance that starts waits to be told what is in
 	// force before it reads by itself.
 	StartWait time.Duration
+	// Instances returns how many others are known; nil for none. It takes the longer
+	// to be told the more start in the same moment, and their reads would hold the
+	// platform up.
+	Instances func() int
 	// Bounds are the times in which changes are to be in force; zero for the
 	// default ones.
 	Bounds Bounds
--- a/internal/observed/turn.go
+++ b/internal/observed/turn.go
@@ -20,7 +20,7 @@
 // take, and reads a kind that isn't known by then. Where that fails, it is left to
 // those whose turn it is.
 func (f *Follower) start(ctx context.Context, one *follow, patience *objectapi.Patience) error {
-	for !f.opts.State.Known() && f.opts.Now().Sub(f.started) < f.opts.StartWait {
+	for !f.opts.State.Known() && f.opts.Now().Sub(f.started) < f.startWait() {
 		if err := objectapi.Pause(ctx, startCheck); err != nil {
 			return err
 		}
@@ -33,6 +33,20 @@
 	return objectapi.Pause(ctx, max(0, settleTime-f.opts.Now().Sub(f.started)))
 }
 
+const (
+	// startWaitEach is how much longer an instance that starts waits for each other
+	// one that it knows, up to startWaitMost more.
+	startWaitEach = 5 * time.Millisecond
+	startWaitMost = 2 * time.Second
+)
+
+func (f *Follower) startWait() time.Duration {
+	if f.opts.Instances == nil || f.opts.StartWait == 0 {
+		return f.opts.StartWait
+	}
+	return f.opts.StartWait + min(startWaitMost, time.Duration(f.opts.Instances())*startWaitEach)
+}
+
 // mayTry reports whether the platform may be called: while it fails, one kind of
 // objects tries for all.
 func (f *Follower) mayTry(now time.Time) bool {
