Join past a seed that doesn't answer

Cause: after all had lost power 63 of 70 instances were told nothing by others and read the platform by themselves: the first seed that each asked had no power yet, and doesn't refuse a connection; nobody else was asked for 0.7 s.

Change: each seed is asked once at a time, others meanwhile; the call to a seed has 0.35 s; an instance waits 0.3 s and up to 0.4 s more, in place of 0.1 s, before it reads by itself.

Test first: TestJoinGoesPastASilentSeed.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -111,7 +111,7 @@
 	syncing     atomic.Bool
 	urgent      pending
 	suspects    pendingSuspects
-	joining     atomic.Bool
+	joining     addresses
 	// refused is set while an instance that starts was refused what it lacks.
 	refused atomic.Bool
 	// joined is set once another instance has told what it knows.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -170,6 +171,23 @@
 	require.Same(t, &first[0], &again[0])
 }
 
+// Guards against an instance that starts waiting for a seed without power while
+// another one answers.
+func TestJoinGoesPastASilentSeed(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	seed := startOne(t, "seed", secret("k"), false)
+	seed.learn(3, nil, "s1")
+	newcomer := startOne(t, "new", secret("k"), false, silent.Addr().String(), seed.address)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 2 {
+		newcomer.joinSeed(t.Context(), rng)
+	}
+	require.Eventually(t, func() bool { return newcomer.has(3, 0, 1) }, testTimeout, testTick)
+	require.True(t, newcomer.joining.has(silent.Addr().String()), "the silent one hasn't been given up yet")
+}
+
 // Guards against hundreds of instances that start together being told thousands of
 // servers, written and compressed anew for each, by the same few.
 func TestStartIsToldASnapshot(t *testing.T) {
@@ -179,7 +197,7 @@
 		servers = append(servers, fmt.Sprintf("engine-%d", i))
 	}
 	seed.learn(3, []string{"z1"}, servers...)
-	newcomer.sync(t.Context(), seed.address, []membership.Record{newcomer.table.Self()})
+	newcomer.sync(t.Context(), seed.address, testTimeout, []membership.Record{newcomer.table.Self()})
 	require.True(t, newcomer.has(3, 1, 2000))
 	require.Positive(t, newcomer.state.Age(time.Now(), observed.Servers))
 
@@ -215,11 +233,11 @@
 	}
 	seed.table.Merge(time.Now(), others)
 	seed.learn(3, nil, "s1")
-	newcomer.sync(t.Context(), seed.address, []membership.Record{newcomer.table.Self()})
+	newcomer.sync(t.Context(), seed.address, testTimeout, []membership.Record{newcomer.table.Self()})
 	require.True(t, newcomer.has(3, 0, 1))
 	require.Len(t, newcomer.table.All(time.Now()), 1+joinRecords)
 	require.Equal(t, 302, newcomer.table.Count(time.Now()), "shares are those of all")
-	newcomer.sync(t.Context(), seed.address, newcomer.table.All(time.Now()))
+	newcomer.sync(t.Context(), seed.address, testTimeout, newcomer.table.All(time.Now()))
 	require.Len(t, newcomer.table.All(time.Now()), 302)
 }
 
@@ -240,7 +258,7 @@
 	stranger.learn(9, nil, "s1")
 	for _, pair := range [][2]*one{{stranger, a}, {a, stranger}} {
 		require.Error(t, pair[0].ask(t.Context(), pair[1].address, ""))
-		pair[0].sync(t.Context(), pair[1].address, pair[0].table.All(time.Now()))
+		pair[0].sync(t.Context(), pair[1].address, testTimeout, pair[0].table.All(time.Now()))
 	}
 	require.Equal(t, 1, a.table.Count(time.Now()))
 	require.Nil(t, a.state.Table())
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if g.opts.Table.Sync(now, m.Digest) {
-		g.submit("sync", func() { g.sync(ctx, address, g.opts.Table.All(g.opts.Now())) })
+		g.submit("sync", func() { g.sync(ctx, address, syncTimeout, g.opts.Table.All(g.opts.Now())) })
 	}
 	g.opts.State.MergeVersions(now, *m.Versions)
 	if g.opts.State.BehindBeside(*m.Versions, observed.Configuration) {
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"time"
 
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/observed"
@@ -18,26 +20,64 @@
 // many to hand over to.
 const seedOneOfJoins = 3
 
+// joinTimeout bounds a call to a seed that may not have started yet: a machine
+// without power doesn't refuse a connection.
+const joinTimeout = 350 * time.Millisecond
+
 // joinSeed asks one of the seeds, or where they have too many to hand over to one of
-// the instances that they have told of, one at a time, for other instances and for
-// what is in force.
+// the instances that they have told of, for other instances and for what is in force.
+// Each is asked once at a time.
 func (g *Gossip) joinSeed(ctx context.Context, rng *rand.Rand) {
-	seeds := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return s == g.opts.Table.Self().Peer })
+	seeds := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return s == g.opts.Table.Self().Peer || g.joining.has(s) })
 	if r, ok := g.opts.Table.Any(rng); ok && (len(seeds) == 0 || g.refused.Load() && rng.IntN(seedOneOfJoins) > 0) {
 		seeds = []string{r.Peer}
 	}
-	if len(seeds) == 0 || !g.joining.CompareAndSwap(false, true) {
+	if len(seeds) == 0 {
 		return
 	}
 	address := seeds[rng.IntN(len(seeds))]
+	if !g.joining.begin(address) {
+		return
+	}
 	if g.calls.Submit(func() {
-		defer g.joining.Store(false)
-		g.sync(ctx, address, []membership.Record{g.opts.Table.Self()})
+		defer g.joining.end(address)
+		g.sync(ctx, address, joinTimeout, []membership.Record{g.opts.Table.Self()})
 	}) != nil {
-		g.joining.Store(false)
+		g.joining.end(address)
 	}
 }
 
+// addresses are those that are being asked.
+type addresses struct {
+	mu  sync.Mutex
+	all map[string]bool
+}
+
+func (a *addresses) has(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.all[address]
+}
+
+func (a *addresses) begin(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.all[address] {
+		return false
+	}
+	if a.all == nil {
+		a.all = map[string]bool{}
+	}
+	a.all[address] = true
+	return true
+}
+
+func (a *addresses) end(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.all, address)
+}
+
 // fetch gets what is missing of the platform from an instance that has it. One
 // fetch at a time is enough: what it misses shows with the next probe.
 func (g *Gossip) fetch(ctx context.Context, address string) {
@@ -46,17 +86,19 @@
 	}
 	if g.calls.Submit(func() {
 		defer g.syncing.Store(false)
-		g.sync(ctx, address, nil)
+		g.sync(ctx, address, syncTimeout, nil)
 	}) != nil {
 		g.syncing.Store(false)
 	}
 	g.opts.Scope.Counter("fetches").Inc(1)
 }
 
-func (g *Gossip) sync(ctx context.Context, address string, records []membership.Record) {
+// sync exchanges records with an instance and takes over what is missing of the
+// platform. Timeout bounds the call, what is fetched after it has its own.
+func (g *Gossip) sync(ctx context.Context, address string, timeout time.Duration, records []membership.Record) {
 	now := g.opts.Now()
 	versions := g.opts.State.Versions(now)
-	m, err := g.call(ctx, address, syncProcedure, syncTimeout, &Message{Records: records, Versions: &versions})
+	m, err := g.call(ctx, address, syncProcedure, timeout, &Message{Records: records, Versions: &versions})
 	if err != nil {
 		return
 	}
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -69,7 +69,7 @@
 	// is in force, and firstStartWait the same where no callers come yet. Up to
 	// startSpread is added, so that what the first ones read reaches the others
 	// that start in the same moment.
-	startWait      = 100 * time.Millisecond
+	startWait      = 300 * time.Millisecond
 	startSpread    = 400 * time.Millisecond
 	firstStartWait = time.Second
 	// maxAddresses is how many instances a caller is told of.
