Have requests wait in the first moments of an instance

Cause: 135 callers were refused in the 0.7 s between listening and the first configuration after all had lost power; most may ask a second time only.

Change: within a second of its start an instance has a request wait up to 0.4 s for the configuration, in place of refusing it, unless the platform is known to be away.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -128,7 +128,23 @@
 	}
 }
 
+// start starts a server that knows its configuration and its backend servers.
 func start(t *testing.T, backends map[string]http.Handler) *fixture {
+	t.Helper()
+	f := startUnknown(t, backends)
+	f.learn()
+	return f
+}
+
+// learn has the server know its configuration and its backend servers.
+func (f *fixture) learn() {
+	f.state.ReplaceServers(f.clock.now(), 1, f.list)
+	f.state.ReplaceZones(f.clock.now(), 1, nil)
+	f.state.Configure(f.clock.now(), configuration(), nil)
+}
+
+// startUnknown starts a server that knows nothing of the platform yet.
+func startUnknown(t *testing.T, backends map[string]http.Handler) *fixture {
 	t.Helper()
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -154,9 +170,6 @@
 		service, _, _ := strings.Cut(id, "-")
 		f.list = append(f.list, dialect.Server{ID: id, Service: service, Zone: "zone-a", Slots: 6, Address: strings.TrimPrefix(h.URL, "http://")})
 	}
-	f.state.Configure(f.clock.now(), configuration(), nil)
-	f.state.ReplaceServers(f.clock.now(), 1, f.list)
-	f.state.ReplaceZones(f.clock.now(), 1, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -116,6 +116,7 @@
 	runs     *runs
 	carriers *ants.Pool
 	log      zerolog.Logger
+	started  time.Time
 
 	mu     sync.Mutex
 	closed bool
@@ -131,7 +132,7 @@
 func NewServer(opts Options) (*Server, error) {
 	s := &Server{
 		opts: opts, fields: opts.Dialect.Fields, internal: map[string]bool{}, upstream: upstream.New(),
-		runs: newRuns(), log: opts.Log,
+		runs: newRuns(), log: opts.Log, started: opts.Now(),
 	}
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internal[strings.ToLower(name)] = true
@@ -285,6 +286,7 @@
 	if s.draining.Load() {
 		c.SetConnectionClose()
 	}
+	s.awaitStart(ctx, now)
 	r, err := s.read(now, c)
 	if err == nil {
 		ctx, span := s.opts.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
