Ask again for a permit that ran out on the way

Traced: an ask of a caller that waits is answered with the permit of its earlier ask, which had run out 4 to 14 ms before; the owner then said that the server was full, and the router gave the request up although its deadline was far. Ruled out in the same traces: asks sent elsewhere while the owner waits for its right, and servers without a load report, which are asked again.

Change: who may wait is told to ask again.

--- a/internal/owner/acquire.go
+++ b/internal/owner/acquire.go
@@ -65,9 +65,23 @@
 	if _, ok := decision.(admission.NotHere); ok && received.Sub(opened) < firstReport {
 		return hold(ctx, o.waitOf(req))
 	}
+	if o.ranOut(received, decision) {
+		return hold(ctx, o.waitOf(req))
+	}
 	return o.answer(received, right, decision)
 }
 
+// ranOut reports whether a permit of an earlier ask has run out before this answer:
+// the asker is to ask again, as nobody is too busy for it.
+func (o *Owner) ranOut(received time.Time, decision admission.Decision) bool {
+	g, ok := decision.(admission.Granted)
+	return ok && o.validFor(received, g) <= 0
+}
+
+func (o *Owner) validFor(received time.Time, g admission.Granted) time.Duration {
+	return min(o.opts.PermitFor, g.ExpiresAt.Sub(received))
+}
+
 // startSpan makes a span for the owner's part of a request that is traced; its
 // asker may be in this process or another.
 func startSpan(ctx context.Context, req *peerv1.AcquireRequest) (context.Context, trace.Span) {
@@ -128,17 +142,12 @@
 func (o *Owner) answer(received time.Time, right permit.Right, decision admission.Decision) *peerv1.AcquireResponse {
 	switch d := decision.(type) {
 	case admission.Granted:
-		valid := min(o.opts.PermitFor, d.ExpiresAt.Sub(received))
-		if valid <= 0 {
-			// The permit of an earlier ask has run out meanwhile.
-			return refused(permit.ReasonOverloaded, retryNotReady, fullPermille)
-		}
 		return &peerv1.AcquireResponse{Answer: &peerv1.AcquireResponse_Granted{Granted: &peerv1.Granted{
 			PermitId:          d.PermitID,
 			Epoch:             right.Epoch,
 			OwnerIncarnation:  o.opts.Incarnation,
 			ServerIncarnation: d.ServerIncarnation,
-			ValidMillis:       int32(valid / time.Millisecond),
+			ValidMillis:       int32(o.validFor(received, d) / time.Millisecond),
 			LoadPermille:      int32(d.LoadPermille),
 		}}}
 	case admission.Queued:
--- /dev/null
+++ b/internal/owner/ranout_test.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"pollenspindle.example/pollenspindle/internal/admission"
+	"pollenspindle.example/pollenspindle/internal/config"
+
+	"pollenspindle.example/pollenspindle/internal/peer/peerv1"
+	"pollenspindle.example/pollenspindle/internal/permit"
+	"pollenspindle.example/pollenspindle/pkg/pollenspindle"
+)
+
+// freshLoads answers each poll at once.
+type freshLoads struct{}
+
+func (freshLoads) Load(_ context.Context, asked time.Time, _ pollenspindle.ServiceKind, _ string) (admission.Report, error) {
+	return admission.Report{Incarnation: "a", MeasuredAt: asked}, nil
+}
+
+// Guards against refusing a caller as if the server were full, where the permit of
+// its earlier ask ran out on the way.
+func TestPermitThatRanOutIsAskedForAgain(t *testing.T) {
+	const permitFor = 40 * time.Millisecond
+	server := pollenspindle.Server{Name: "desk-1", Service: "desk", Zone: "a", State: pollenspindle.ServerInService, ColdLimit: 2, WarmLimit: 8}
+	snap := config.NewSnapshot(1, pollenspindle.Config{
+		Zones:    []pollenspindle.Zone{{Name: "a", State: pollenspindle.ZoneInService}},
+		Services: []pollenspindle.Service{{Name: "desk", Kind: pollenspindle.ServicePlain}},
+		Servers:  []pollenspindle.Server{server},
+	})
+	o, err := New(Options{
+		Rights: fixedRights{}, Config: func() *config.Snapshot { return snap }, Loads: freshLoads{},
+		Policy: admission.Predicted{}, Suspects: NewSuspects(), PermitFor: permitFor, PollEvery: time.Minute,
+		Log: zerolog.Nop(), Metrics: tally.NoopScope,
+	})
+	require.NoError(t, err)
+	defer o.workers.Release()
+	now := time.Now()
+	right := permit.Right{Role: permit.RoleOwner}
+	e := o.entry(snap, &server)
+	e.follow(now.Add(-time.Hour), right, true)
+	e.state.Report(now, admission.Report{Incarnation: "a", MeasuredAt: now})
+	e.reached, e.polledAt = true, now
+	past := now.Add(-permitFor - 5*time.Millisecond)
+	require.IsType(t, admission.Granted{}, e.state.Acquire(past, admission.Ask{PermitID: "r", Request: permit.Request{ID: "r", Deadline: now.Add(time.Minute)}}))
+	answer := o.Acquire(t.Context(), &peerv1.AcquireRequest{Server: "desk-1", Id: "r", WaitMillis: 10})
+	require.Nil(t, answer.GetRefused())
+	require.NotNil(t, answer.GetQueued(), "told to ask again")
+}
