--- a/internal/balancer/failures.go
+++ b/internal/balancer/failures.go
@@ -8,9 +8,11 @@
 // HearFailures has failures that another balancer counts count here too.
 func (b *Balancer) HearFailures(heard func(now time.Time, id string) float64) { b.heard = heard }
 
-// Avoid has servers left alone that avoid reports, unless all others are full.
+// SetAvoid has servers left alone that avoid reports, unless all others are full.
 // Repeatable says whether the request may be sent again.
-func (b *Balancer) Avoid(avoid func(now time.Time, id string, repeatable bool) bool) { b.avoid = avoid }
+func (b *Balancer) SetAvoid(avoid func(now time.Time, id string, repeatable bool) bool) {
+	b.avoid = avoid
+}
 
 // avoidCost is what a server that is to be left alone weighs: more than a full one.
 const avoidCost = 4.0
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -207,6 +207,6 @@
 		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	millis, _ := strconv.ParseInt(res.Header.Get(ageField), 10, 64)
-	// The way here counts as well: what is said to be fresh must not be older.
+	// The transfer counts towards the age.
 	return raw, time.Duration(millis)*time.Millisecond + g.opts.Now().Sub(asked), nil
 }
--- a/internal/observed/rollouts.go
+++ b/internal/observed/rollouts.go
@@ -14,8 +14,8 @@
 	"pollenspindle.example/pollenspindle/internal/rollout"
 )
 
-// versions is what is known of the versions of the servers.
-type versions struct {
+// releases is what is known of the software versions of the servers.
+type releases struct {
 	// followed is set where roll-outs are ordered at all.
 	followed bool
 	// rollouts are by service.
@@ -29,8 +29,8 @@
 	rejected map[string]map[string]bool
 }
 
-func newVersions() versions {
-	return versions{
+func newReleases() releases {
+	return releases{
 		rollouts: map[string]dialect.Rollout{}, accepted: map[string]map[string]bool{},
 		held: map[string]map[string]time.Time{}, rejected: map[string]map[string]bool{},
 	}
@@ -41,7 +41,7 @@
 func (s *State) FollowRollouts() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.kept.followed = true
+	s.releases.followed = true
 }
 
 // Rollouts returns the roll-outs with their stages, in order of their names.
@@ -52,7 +52,7 @@
 }
 
 func (s *State) listRollouts() []dialect.Rollout {
-	out := slices.Collect(maps.Values(s.kept.rollouts))
+	out := slices.Collect(maps.Values(s.releases.rollouts))
 	slices.SortFunc(out, func(a, b dialect.Rollout) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
@@ -70,27 +70,27 @@
 	}
 	s.versions[Rollouts] = version
 	s.confirm(now, Rollouts)
-	before := s.kept.rollouts
-	s.kept.rollouts = map[string]dialect.Rollout{}
+	before := s.releases.rollouts
+	s.releases.rollouts = map[string]dialect.Rollout{}
 	for _, r := range list {
 		r.Stage = rollout.StageCanary.Later(r.Told)
 		if known, ok := before[r.Service]; ok && known.ID == r.ID {
 			r.Stage = known.Stage.Later(r.Stage)
 		}
-		delete(s.kept.rejected[r.Service], r.To)
-		s.kept.rollouts[r.Service] = r
+		delete(s.releases.rejected[r.Service], r.To)
+		s.releases.rollouts[r.Service] = r
 	}
 	for service, known := range before {
-		if r, ok := s.kept.rollouts[service]; (!ok || r.To != known.To) && known.Stage != rollout.StageCompleted {
-			mark(s.kept.rejected, service, known.To)
+		if r, ok := s.releases.rollouts[service]; (!ok || r.To != known.To) && known.Stage != rollout.StageCompleted {
+			mark(s.releases.rejected, service, known.To)
 		}
 		s.touchService(service)
 	}
-	for service := range s.kept.rollouts {
+	for service := range s.releases.rollouts {
 		s.retire(service)
 		s.touchService(service)
 	}
-	s.alter(Rollouts, rolloutsMark(s.kept.rollouts))
+	s.alter(Rollouts, rolloutsMark(s.releases.rollouts))
 	s.publish()
 	return true
 }
@@ -103,13 +103,13 @@
 }
 
 func (s *State) setStage(id string, stage rollout.Stage) bool {
-	for service, r := range s.kept.rollouts {
+	for service, r := range s.releases.rollouts {
 		later := r.Stage.Later(stage)
 		if r.ID != id || later == r.Stage {
 			continue
 		}
 		r.Stage = later
-		s.kept.rollouts[service] = r
+		s.releases.rollouts[service] = r
 		s.retire(service)
 		s.touchService(service)
 		s.publish()
@@ -121,7 +121,7 @@
 // retire marks the servers that end with a completed roll-out. Others of any
 // version may follow later, without an order.
 func (s *State) retire(service string) {
-	r := s.kept.rollouts[service]
+	r := s.releases.rollouts[service]
 	if r.Stage != rollout.StageCompleted {
 		return
 	}
@@ -135,10 +135,10 @@
 
 // track says whether a server gets requests, and whether it gets those of a canary.
 func (s *State) track(e *entry) (stable, canary bool) {
-	if e.retired || s.kept.rejected[e.Service][e.Version] {
+	if e.retired || s.releases.rejected[e.Service][e.Version] {
 		return false, false
 	}
-	r, ok := s.kept.rollouts[e.Service]
+	r, ok := s.releases.rollouts[e.Service]
 	isNew := e.Version == r.To
 	switch {
 	case ok && isNew:
@@ -146,7 +146,7 @@
 	case ok && !r.Stage.Ended():
 		return r.Stage.Serves(false), false
 	}
-	_, held := s.kept.held[e.Service][e.Version]
+	_, held := s.releases.held[e.Service][e.Version]
 	return !held, false
 }
 
@@ -159,10 +159,10 @@
 }
 
 func (s *State) vacated(e *entry) bool {
-	if e.retired || s.kept.rejected[e.Service][e.Version] {
+	if e.retired || s.releases.rejected[e.Service][e.Version] {
 		return true
 	}
-	r, ok := s.kept.rollouts[e.Service]
+	r, ok := s.releases.rollouts[e.Service]
 	if !ok || e.Version != r.To && r.Stage.Ended() {
 		return false
 	}
@@ -190,7 +190,7 @@
 	defer s.mu.Unlock()
 	for _, e := range s.servers {
 		switch {
-		case e.Service != service || e.Leaving || s.zones[e.Zone] || e.retired || s.kept.rejected[service][e.Version]:
+		case e.Service != service || e.Leaving || s.zones[e.Zone] || e.retired || s.releases.rejected[service][e.Version]:
 		case e.Version == version:
 			of++
 		default:
@@ -202,7 +202,7 @@
 
 // see notes the version of a server that is listed.
 func (s *State) see(now time.Time, e *entry) {
-	k := &s.kept
+	k := &s.releases
 	if !k.followed || k.accepted[e.Service][e.Version] {
 		return
 	}
@@ -222,7 +222,7 @@
 // servers, and roll-outs have to be known before anything is sent.
 func (s *State) seeFirst(list []dialect.Server) {
 	for i := range list {
-		mark(s.kept.accepted, list[i].Service, list[i].Version)
+		mark(s.releases.accepted, list[i].Service, list[i].Version)
 	}
 }
 
@@ -230,13 +230,13 @@
 // time.
 func (s *State) settle(at time.Time) {
 	changed := false
-	for service, of := range s.kept.held {
+	for service, of := range s.releases.held {
 		for version, since := range of {
 			if at.Before(since) {
 				continue
 			}
 			delete(of, version)
-			mark(s.kept.accepted, service, version)
+			mark(s.releases.accepted, service, version)
 			s.touchService(service)
 			changed = true
 		}
@@ -252,7 +252,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var first time.Time
-	for _, of := range s.kept.held {
+	for _, of := range s.releases.held {
 		for _, since := range of {
 			if first.IsZero() || since.Before(first) {
 				first = since
--- a/internal/observed/servers.go
+++ b/internal/observed/servers.go
@@ -100,7 +100,7 @@
 		s.noteGap(s.versions[Servers], version)
 	}
 	s.versions[Servers] = version
-	for service := range s.kept.rollouts {
+	for service := range s.releases.rollouts {
 		if first {
 			s.retire(service)
 			s.touchService(service)
--- a/internal/observed/state.go
+++ b/internal/observed/state.go
@@ -85,7 +85,7 @@
 	// touched are the servers, by service, that changed since offered was made.
 	touched   map[string]map[string]bool
 	zones     map[string]bool
-	kept      versions
+	releases  releases
 	versions  [parts]int64
 	confirmed [parts]time.Time
 	// marks tell contents apart, whatever their versions.
@@ -110,7 +110,7 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	s := &State{
-		servers: map[string]entry{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, kept: newVersions(), changed: make(chan struct{}, 1),
+		servers: map[string]entry{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, releases: newReleases(), changed: make(chan struct{}, 1),
 	}
 	s.marks[Zones] = zonesMark(s.zones)
 	s.marks[Rollouts] = rolloutsMark(nil)
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for p, version := range s.versions {
-		if version == 0 && (Part(p) != Rollouts || s.kept.followed) {
+		if version == 0 && (Part(p) != Rollouts || s.releases.followed) {
 			return false
 		}
 	}
--- a/internal/outlierpeer/peer.go
+++ b/internal/outlierpeer/peer.go
@@ -66,9 +66,9 @@
 	Ejected []outlier.Ejection `json:"ejected,omitempty"`
 }
 
-type noted struct{ service, server, route string }
+type answerKey struct{ service, server, route string }
 
-type avoided struct{ until, trial time.Time }
+type ejection struct{ until, trial time.Time }
 
 // Peer is one instance's part. It is safe for concurrent use.
 type Peer struct {
@@ -77,10 +77,10 @@
 
 	mu       sync.Mutex
 	detector *outlier.Detector
-	answers  map[noted]*outlier.Answers
+	answers  map[answerKey]*outlier.Answers
 	failed   bool
 	reported time.Time
-	avoid    map[string]avoided
+	avoid    map[string]ejection
 }
 
 // New returns a peer that is ready to run.
@@ -90,7 +90,7 @@
 	}
 	return &Peer{
 		opts: opts, caller: peerrpc.NewCaller(opts.Key, opts.Self, callTimeout), detector: outlier.NewDetector(),
-		answers: map[noted]*outlier.Answers{}, avoid: map[string]avoided{},
+		answers: map[answerKey]*outlier.Answers{}, avoid: map[string]ejection{},
 	}
 }
 
@@ -98,7 +98,7 @@
 func (p *Peer) Note(server observed.Server, route string, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	k := noted{server.Service, server.ID, route}
+	k := answerKey{server.Service, server.ID, route}
 	a, ok := p.answers[k]
 	if !ok {
 		a = &outlier.Answers{Service: server.Service, Server: server.ID, Route: route}
@@ -123,15 +123,15 @@
 func (p *Peer) Run(ctx context.Context) {
 	for objectapi.Pause(ctx, tick) == nil {
 		now := p.opts.Now()
-		if answers, due := p.take(now); due {
+		if answers, due := p.dueReport(now); due {
 			p.report(ctx, now, Report{Answers: answers})
 		}
 	}
 	p.caller.Drop()
 }
 
-// take returns the answers to be reported, if any are due.
-func (p *Peer) take(now time.Time) ([]outlier.Answers, bool) {
+// dueReport returns the answers to be reported, if any are due.
+func (p *Peer) dueReport(now time.Time) ([]outlier.Answers, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	gap := reportGap + time.Duration(p.opts.Table.Count(now))*reportEach
@@ -158,7 +158,7 @@
 		return
 	}
 	if owner.ID == p.opts.Self {
-		p.obey(now, p.answer(now, r))
+		p.applyVerdict(now, p.aggregate(now, r))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -171,11 +171,11 @@
 		p.opts.Log.Debug().Str("instance", owner.ID).Err(err).Msg("report of answers not taken")
 		return
 	}
-	p.obey(now, *res.Msg)
+	p.applyVerdict(now, *res.Msg)
 }
 
-// obey takes over a verdict.
-func (p *Peer) obey(now time.Time, v Verdict) {
+// applyVerdict takes over a verdict.
+func (p *Peer) applyVerdict(now time.Time, v Verdict) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range v.Ejected {
@@ -183,7 +183,7 @@
 		if known, ok := p.avoid[e.Server]; !ok || until.Sub(known.until) > time.Second {
 			p.opts.Log.Info().Str("server", e.Server).Int64("forMs", e.ForMillis).Msg("server left alone")
 		}
-		p.avoid[e.Server] = avoided{until: until, trial: until.Add(time.Duration(e.TrialMillis) * time.Millisecond)}
+		p.avoid[e.Server] = ejection{until: until, trial: until.Add(time.Duration(e.TrialMillis) * time.Millisecond)}
 	}
 	for id, a := range p.avoid {
 		if !now.Before(a.trial) {
@@ -192,8 +192,8 @@
 	}
 }
 
-// answer adds a report up.
-func (p *Peer) answer(now time.Time, r Report) Verdict {
+// aggregate adds a report up.
+func (p *Peer) aggregate(now time.Time, r Report) Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, f := range p.detector.Take(now, r.Answers) {
@@ -211,7 +211,7 @@
 		if err := peerrpc.Check(p.opts.Key, now, req.Header(), reportProcedure); err != nil {
 			return nil, err
 		}
-		v := p.answer(now, *req.Msg)
+		v := p.aggregate(now, *req.Msg)
 		return connect.NewResponse(&v), nil
 	}
 	return map[string]http.Handler{
