--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -199,6 +199,11 @@
 	seed.learn(3, []string{"z1"}, servers...)
 	newcomer.sync(t.Context(), seed.address, testTimeout, []membership.Record{newcomer.table.Self()})
 	require.True(t, newcomer.has(3, 1, 2000))
+	none := observed.NewState().Versions(time.Now())
+	answer, err := newcomer.call(t.Context(), seed.address, syncProcedure, testTimeout, &Message{Versions: &none})
+	require.NoError(t, err)
+	require.True(t, answer.Snapshot)
+	require.Nil(t, answer.Update, "servers written anew for each")
 	require.Positive(t, newcomer.state.Age(time.Now(), observed.Servers))
 
 	first, _, err := seed.snapshot.snapshot(time.Now(), seed.state)
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -241,7 +241,8 @@
 	}
 }
 
-// Ejected returns the servers that are ejected or on trial.
+// Ejected returns the servers that are ejected, or get only requests that may be
+// repeated since.
 func (d *Detector) Ejected(now time.Time) []Ejection {
 	var out []Ejection
 	for id, s := range d.servers {
