--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -15,6 +15,7 @@
 package outlier
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -132,7 +133,7 @@
 	}
 	d.forget(now)
 	var found []Found
-	for service := range services {
+	for _, service := range slices.Sorted(maps.Keys(services)) {
 		found = append(found, d.judge(now, service)...)
 	}
 	return found
@@ -179,10 +180,9 @@
 // compare returns the answers of a server beside those of the others, by kind of
 // request.
 func (d *Detector) compare(now time.Time, id string, ids []string) (pairs []evidence.Pair, seen evidence.Share) {
-	for k, c := range d.counts {
-		if k.server != id {
-			continue
-		}
+	for _, route := range d.routes(id) {
+		k := key{id, route}
+		c := d.counts[k]
 		c.fade(now)
 		var usual evidence.Share
 		for _, other := range ids {
@@ -199,6 +199,18 @@
 	return pairs, seen
 }
 
+// routes returns the kinds of requests that a server has answered, in a fixed order.
+func (d *Detector) routes(id string) []string {
+	var routes []string
+	for k := range d.counts {
+		if k.server == id {
+			routes = append(routes, k.route)
+		}
+	}
+	slices.Sort(routes)
+	return routes
+}
+
 // clear forgets the answers of a server: after its ejection it is judged by new
 // ones.
 func (d *Detector) clear(id string) {
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -20,6 +20,7 @@
 	"pollenspindle.example/pollenspindle/pkg/cmd/instance"
 	"pollenspindle.example/pollenspindle/pkg/cmd/log"
 	"pollenspindle.example/pollenspindle/pkg/cmd/model"
+	"pollenspindle.example/pollenspindle/pkg/cmd/rollout"
 	"pollenspindle.example/pollenspindle/pkg/cmd/serve"
 	"pollenspindle.example/pollenspindle/pkg/cmd/server"
 	"pollenspindle.example/pollenspindle/pkg/cmd/settings"
@@ -40,6 +41,7 @@
 	Instance   instance.Command   `cmd:"" help:"Work with entry instances"`
 	Generation generation.Command `cmd:"" help:"Work with generations"`
 	Model      model.Command      `cmd:"" help:"Work with models"`
+	Rollout    rollout.Command    `cmd:"" help:"Work with roll-outs"`
 	Log        log.Command        `cmd:"" help:"Work with the log level of an instance"`
 	Settings   settings.Command   `cmd:"" help:"Work with settings files"`
 	Version    version.Options    `cmd:"" help:"Print the version"`
@@ -57,6 +59,7 @@
 		Instance:   instance.NewCmdInstance(f),
 		Generation: generation.NewCmdGeneration(f),
 		Model:      model.NewCmdModel(f),
+		Rollout:    rollout.NewCmdRollout(f),
 		Log:        log.NewCmdLog(f),
 		Settings:   settings.NewCmdSettings(f),
 		Version:    version.NewCmdVersion(f),
