Log the request limit that a backend server names

The header field is now decoded, and each change is logged and counted. No request is placed otherwise than before.

All requests of callers go through one function, forward, which records what the response asks for. A response of another server at the same address, or to another request, is left out.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -46,6 +46,8 @@
 	NotExecuted string
 	// Instance names the backend server that responds.
 	Instance string
+	// RateLimit is the number of requests per second that a backend server takes from all instances.
+	RateLimit string
 	// Internal lists the fields that callers may not set.
 	Internal []string
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
 	defer s.opts.Balancer.Release(place)
-	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(now, r, place, nil), false)
+	response, err := s.forward(ctx, r, place, nil, false)
 	if err != nil {
 		return classifyError(err)
 	}
--- /dev/null
+++ b/internal/ingress/pushback.go
@@ -0,0 +1,51 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
+	"pollenspindle.example/pollenspindle/internal/service"
+	"pollenspindle.example/pollenspindle/internal/upstream"
+)
+
+// forward sends a request to the placed server and records what the server asks for in its
+// response. Every request of a caller goes through it.
+func (s *Server) forward(ctx context.Context, r *request, place balancer.Placement, extra []service.Header, stream bool) (*upstream.Response, error) {
+	sentAt := s.opts.Now()
+	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(sentAt, r, place, extra), stream)
+	if err == nil && s.isFrom(place.Server, r, response) {
+		s.recordLimit(sentAt, place.Server, response)
+	}
+	return response, err
+}
+
+// isFrom reports whether a response was made by the server that the request was meant for, and not
+// by another server at its address.
+func (s *Server) isFrom(server platformstate.Server, r *request, response *upstream.Response) bool {
+	if id := response.Get(s.fields.Instance); id != "" && id != server.ID {
+		return false
+	}
+	return response.Status != http.StatusMisdirectedRequest && response.Get(s.fields.RequestID) == r.id
+}
+
+// recordLimit records the request rate that a server names in its response, or that it names none.
+func (s *Server) recordLimit(sentAt time.Time, server platformstate.Server, response *upstream.Response) {
+	var limit pushback.Limit
+	if value := response.Get(s.fields.RateLimit); value != "" {
+		perSecond, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(perSecond >= 0) {
+			s.log.Warn().Str("server", server.ID).Str("value", value).Msg("backend server names an invalid limit")
+			return
+		}
+		limit = pushback.Limit{PerSecond: perSecond, Named: true}
+	}
+	if s.limits.Observe(s.opts.Now(), sentAt, server.ID, limit) {
+		s.opts.Scope.Counter("server_limits_changed").Inc(1)
+		s.log.Info().Str("server", server.ID).Float64("perSecond", limit.PerSecond).Bool("named", limit.Named).Msg("limit of a backend server")
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -42,6 +42,7 @@
 	"pollenspindle.example/pollenspindle/internal/outlierpeer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/internal/upstream"
@@ -112,6 +113,7 @@
 	upstream       *upstream.Client
 	streams        *activeStreams
 	workers        *ants.Pool
+	limits         *pushback.Limits
 	log            zerolog.Logger
 	startedAt      time.Time
 
@@ -129,7 +131,7 @@
 func NewServer(opts Options) (*Server, error) {
 	s := &Server{
 		opts: opts, fields: opts.Dialect.Fields, internalFields: map[string]bool{}, upstream: upstream.New(),
-		streams: newActiveStreams(), log: opts.Log, startedAt: opts.Now(),
+		streams: newActiveStreams(), limits: pushback.NewLimits(), log: opts.Log, startedAt: opts.Now(),
 	}
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internalFields[strings.ToLower(name)] = true
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -77,7 +77,7 @@
 		}
 	})
 	defer timer.Stop()
-	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(s.opts.Now(), r, place, nil), true)
+	response, err := s.forward(ctx, r, place, nil, true)
 	if err != nil {
 		return classifyError(err)
 	}
@@ -317,7 +317,7 @@
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
-	response, err := cs.s.upstream.Do(ctx, place.Server.Address, cs.s.upstreamRequest(cs.s.opts.Now(), cs.r, place, extra), true)
+	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
 	if err != nil {
 		return nil, err
 	}
