Keep the request limit that a backend server names

Cause: instances passed the header field Server-Limit on and nothing that places requests read it.

The class of fault is a bound over all instances that each instance can only keep its part of. The limit is divided among as many instances as the server takes requests in a second (two at least), chosen by hashing among all known instances, also those that can't be reached; the others send nothing. An instance that has just started, or knows too few of the others, has no share. Instances tell each other of limits with their probes: one that sends nothing to a server wouldn't hear that its limit has ended.

The balancer checks the limit for first attempts, retries, canaries, resumed streams and targets of migrations; placements and transfer slots of the planner are checked by the instance that asked. A resumption that can't go elsewhere counts against what follows. A request that no server admits is refused at once, each caller with its own time to come back.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
@@ -109,12 +110,16 @@
 // Full means that servers are available, but all are at their limit.
 type Full struct{}
 
+// Limited means that servers are available, but their own limits admit no request now.
+type Limited struct{}
+
 // None means that no server is available.
 type None struct{}
 
-func (Picked) choice() {}
-func (Full) choice()   {}
-func (None) choice()   {}
+func (Picked) choice()  {}
+func (Full) choice()    {}
+func (Limited) choice() {}
+func (None) choice()    {}
 
 // Balancer places the requests of one instance. It is safe for concurrent use.
 type Balancer struct {
@@ -128,6 +133,8 @@
 	externalFailures func(now time.Time, id string) float64
 	// shouldAvoid, if set, reports whether a server should be avoided.
 	shouldAvoid func(now time.Time, id string, repeatable bool) bool
+	// limits, if set, holds the limits that servers have named.
+	limits *pushback.Limits
 	// changed signals a change of the own load. Its buffer holds one signal: a slow reader reads
 	// the latest load in any case.
 	changed chan struct{}
@@ -189,12 +196,16 @@
 // pick chooses the server with the lowest score.
 func (b *Balancer) pick(now time.Time, r Request, servers []platformstate.Server) Choice {
 	best, bestScore := -1, math.Inf(1)
-	usable := 0
+	usable, limited := 0, 0
 	for i := range servers {
 		s := &servers[i]
 		if r.Excluded[s.ID] || !b.admitsCold(now, r, s) {
 			continue
 		}
+		if !b.admits(now, s.ID) {
+			limited++
+			continue
+		}
 		usable++
 		load := b.utilization(now, r, s)
 		if load > requestLimit(r) {
@@ -206,6 +217,8 @@
 		}
 	}
 	switch {
+	case usable == 0 && limited > 0:
+		return Limited{}
 	case usable == 0:
 		return None{}
 	case best < 0:
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -60,6 +60,7 @@
 	if now.Before(p.Server.ColdUntil) {
 		b.countCold(now, own)
 	}
+	b.countLimited(now, p.Server.ID)
 }
 
 // prefillTime returns the time that an engine takes for the prefill of a prompt.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,7 @@
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 )
 
 const (
@@ -83,6 +85,8 @@
 	// an instance that joins; nil for none.
 	ApplySuspects func(now time.Time, entries []crashsuspect.Entry)
 	Suspects      func(now time.Time) []crashsuspect.Entry
+	// Limits are the request limits of backend servers; nil for none.
+	Limits *pushback.Limits
 	// Handlers are further handlers for calls of instances, by path.
 	Handlers map[string]http.Handler
 	Log      zerolog.Logger
@@ -149,6 +153,13 @@
 	}
 }
 
+// Joined reports whether this instance has received the records of another one, or is configured to
+// run without others.
+func (g *Gossip) Joined() bool {
+	self := g.opts.Table.Self().Peer
+	return g.joined.Load() || !slices.ContainsFunc(g.opts.Seeds, func(seed string) bool { return seed != self })
+}
+
 // BroadcastLeaving broadcasts that callers must no longer use this instance.
 func (g *Gossip) BroadcastLeaving() {
 	g.updateSelf(g.opts.Now())
@@ -220,6 +231,8 @@
 	Snapshot bool `json:"snapshot,omitempty"`
 	// Suspects are crash suspects.
 	Suspects []crashsuspect.Entry `json:"suspects,omitempty"`
+	// Limits are request limits of backend servers.
+	Limits []pushback.Entry `json:"limits,omitempty"`
 	// Origin, Incarnation and Sequence identify a broadcast.
 	Origin      string `json:"origin,omitempty"`
 	Incarnation int64  `json:"started,omitempty"`
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -86,7 +86,20 @@
 
 func (g *Gossip) probeMessage(now time.Time, to string) *Message {
 	versions := g.opts.State.Versions(now)
-	return &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Instances: g.opts.Table.Count(now), Digest: g.opts.Table.Digest()}
+	m := &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Instances: g.opts.Table.Count(now), Digest: g.opts.Table.Digest()}
+	if g.opts.Limits != nil {
+		m.Limits = g.opts.Limits.Entries(now)
+	}
+	return m
+}
+
+func (g *Gossip) mergeLimits(now time.Time, m *Message) {
+	if g.opts.Limits == nil {
+		return
+	}
+	for _, e := range g.opts.Limits.Merge(now, m.Limits) {
+		g.opts.Log.Info().Str("server", e.Server).Any("perSecond", e.PerSecond).Str("source", m.From).Msg("limit of a backend server told by another instance")
+	}
 }
 
 // applyProbe applies a probe or its answer, and fetches missing state.
@@ -94,6 +107,7 @@
 	now := g.opts.Now()
 	g.mergeRecords(now, m.Records)
 	g.opts.Table.RecordCount(now, m.Instances)
+	g.mergeLimits(now, m)
 	if m.Versions == nil || address == "" {
 		return
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -25,6 +25,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
@@ -37,7 +38,7 @@
 		Fields: dialect.Fields{
 			RequestID: "T-Id", DeadlineMillis: "T-Deadline", Key: "T-Key", TokenCounts: "T-Tokens", LengthHint: "T-Hint",
 			LastEventID: "Last-Event-Id", Workspace: "T-Workspace", ExpectInstance: "T-Expect", Urgency: "T-Urgency",
-			ResumeFrom: "T-From", Seal: "T-Seal", NotExecuted: "T-Not-Run",
+			ResumeFrom: "T-From", Seal: "T-Seal", NotExecuted: "T-Not-Run", Instance: "T-Instance", RateLimit: "T-Limit",
 			Internal: []string{"T-Workspace", "T-Expect", "T-Urgency", "T-From", "T-Key", "T-Deadline"},
 		},
 		Paths: dialect.Paths{Directory: "/where", Ready: "/ready", Report: "/report", Migrate: "/move", Handle: "/handle"},
@@ -155,9 +156,15 @@
 	callers, rng := listen(), rand.New(rand.NewPCG(1, 2))
 	logged := &logs{}
 	t.Cleanup(func() { logged.printOnFailure(t) })
+	limits := pushback.NewLimits(pushback.Options{
+		Share:  func(time.Time, string) pushback.Share { return pushback.Share{Instances: 1, Known: true} },
+		Listed: func(string) bool { return true },
+	})
+	lb := balancer.New(balancer.ColdLimits{}, rng, nil)
+	lb.SetLimits(limits)
 	server, err := NewServer(Options{
 		Callers: callers, Ready: listen(), Directory: listen(), Zone: "zone-a", State: f.state, Dialect: testDialect(),
-		Balancer:  balancer.New(balancer.ColdLimits{}, rng, nil),
+		Balancer: lb, Limits: limits,
 		Retries:   retry.NewBudgets(rng),
 		Instances: func() int { return 1 }, Addresses: func(string) []string { return []string{"a"} },
 		Grace: 8 * time.Second, Log: zerolog.New(logged), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Now: f.clock.now,
--- a/internal/ingress/migrator.go
+++ b/internal/ingress/migrator.go
@@ -70,7 +70,8 @@
 	}
 	server, ok := m.s.opts.State.Server(slot.Target)
 	now := m.s.opts.Now()
-	if ok && !server.Leaving && !m.stream.finished() && m.s.opts.Balancer.Failures(now, slot.Target) < maxRecentFailures {
+	if ok && !server.Leaving && !m.stream.finished() && m.s.opts.Balancer.Failures(now, slot.Target) < maxRecentFailures &&
+		m.s.opts.Balancer.Admits(now, slot.Target) {
 		m.target, m.reserved = balancer.Placement{Server: server, Tokens: m.requiredTokens()}, true
 		m.s.opts.Balancer.Reserve(now, m.target)
 	}
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -45,6 +45,8 @@
 		return choice.Placement, nil
 	case balancer.Full:
 		return balancer.Placement{}, s.fullFailure()
+	case balancer.Limited:
+		return balancer.Placement{}, s.limitedFailure(now, r)
 	}
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendLost, "no backend server is available")
 	f.RetryAfter = noServerRetryAfter
@@ -95,13 +97,13 @@
 	}
 	req := planner.PlacementRequest{
 		RequestID: r.id, Service: r.service.Name, Zone: s.opts.Zone, PromptTokens: r.promptTokens, RequiredTokens: r.promptTokens + r.expectedOutput,
-		Excluded: slices.Collect(maps.Keys(t.excluded)), MaxPrefillWaitMillis: r.route.TargetLatency.Milliseconds(),
+		Excluded: append(slices.Collect(maps.Keys(t.excluded)), s.opts.Limits.Limited(s.opts.Now())...), MaxPrefillWaitMillis: r.route.TargetLatency.Milliseconds(),
 	}
 	id, err := s.opts.Planner.Place(ctx, req)
 	if err != nil {
 		return balancer.Placement{}, err
 	}
-	if t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= maxRecentFailures {
+	if t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= maxRecentFailures || !s.opts.Balancer.Admits(s.opts.Now(), id) {
 		return balancer.Placement{}, planner.ErrUnavailable
 	}
 	for _, server := range s.opts.State.Servers(r.service.Name) {
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 	"pollenspindle.example/pollenspindle/internal/pushback"
@@ -34,6 +35,7 @@
 }
 
 // recordLimit records the request rate that a server names in its response, or that it names none.
+// Only a response with a seal shows that it names none.
 func (s *Server) recordLimit(sentAt time.Time, server platformstate.Server, response *upstream.Response) {
 	var limit pushback.Limit
 	if value := response.Get(s.fields.RateLimit); value != "" {
@@ -44,8 +46,31 @@
 		}
 		limit = pushback.Limit{PerSecond: perSecond, Named: true}
 	}
-	if s.limits.Observe(s.opts.Now(), sentAt, server.ID, limit) {
+	if !limit.Named && response.Get(s.fields.Seal) == "" {
+		return
+	}
+	if s.opts.Limits.Observe(s.opts.Now(), sentAt, server.ID, limit) {
 		s.opts.Scope.Counter("server_limits_changed").Inc(1)
 		s.log.Info().Str("server", server.ID).Float64("perSecond", limit.PerSecond).Bool("named", limit.Named).Msg("limit of a backend server")
 	}
 }
+
+// callerPatience is the share of the remaining time for which callers wait as told.
+const callerPatience = 1.0 / 3
+
+// limitedFailure refuses a request because the limits of all servers are used up.
+func (s *Server) limitedFailure(now time.Time, r *request) *answer.Failure {
+	patience := time.Duration(float64(r.callerDeadline.Sub(now)) * callerPatience)
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "the limits of the backend servers are used up")
+	f.RetryAfter = s.opts.Limits.RetryAfter(now, r.service.Name, s.serverIDs(r), patience)
+	return f
+}
+
+func (s *Server) serverIDs(r *request) []string {
+	servers := s.opts.State.Servers(r.service.Name)
+	ids := make([]string, len(servers))
+	for i := range servers {
+		ids[i] = servers[i].ID
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/ingress/pushback_test.go
@@ -0,0 +1,95 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// limitingServer is a plain server that names a limit.
+type limitingServer struct {
+	limit  string
+	status int
+	calls  atomic.Int64
+}
+
+func (s *limitingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	w.Header().Set("T-Seal", "seal")
+	if s.limit != "" {
+		w.Header().Set("T-Limit", s.limit)
+	}
+	w.WriteHeader(max(s.status, http.StatusOK))
+}
+
+// Guards against requests, first attempts or retries, to a server whose limit is used up, and
+// against a Retry-After that brings the caller back while it still is.
+func TestUsedUpLimitRefusesAtOnce(t *testing.T) {
+	desk := &limitingServer{limit: "2"}
+	f := startFixture(t, map[string]http.Handler{"desk-1": desk})
+	require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	for _, path := range []string{"/book/1", "/read/1"} {
+		resp := f.send(http.MethodPost, path, "{}")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, seconds, 0.4)
+	}
+	require.EqualValues(t, 1, desk.calls.Load())
+	f.clock.advance(time.Second)
+	require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	require.EqualValues(t, 2, desk.calls.Load())
+}
+
+// Guards against a retry that sends a server more than its limit admits.
+func TestRetryKeepsLimit(t *testing.T) {
+	limited, failing := &limitingServer{limit: "0.5"}, &limitingServer{status: http.StatusInternalServerError}
+	f := startFixture(t, map[string]http.Handler{"desk-1": limited, "desk-2": failing})
+	require.Eventually(t, func() bool { f.send(http.MethodPost, "/read/1", "{}"); return limited.calls.Load() > 0 }, testTimeout, time.Millisecond)
+	for range 5 {
+		require.Equal(t, http.StatusInternalServerError, f.send(http.MethodPost, "/read/1", "{}").StatusCode)
+	}
+	require.EqualValues(t, 1, limited.calls.Load())
+}
+
+// Guards against a limit that is kept although the server's responses don't carry it any more.
+func TestLimitEndsWithTheServersResponses(t *testing.T) {
+	desk := &limitingServer{limit: "1"}
+	f := startFixture(t, map[string]http.Handler{"desk-1": desk})
+	require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	require.Equal(t, http.StatusServiceUnavailable, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	desk.limit = ""
+	f.clock.advance(2 * time.Second)
+	for range 5 {
+		require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	}
+}
+
+func TestResponsesThatSetNoLimit(t *testing.T) {
+	tests := map[string]struct{ field, value, limit string }{
+		"of another request": {"T-Id", "id-2", "1"},
+		"of another server":  {"T-Instance", "desk-2", "1"},
+		"not a number":       {"X-Other", "1", "few"},
+		"below zero":         {"X-Other", "1", "-1"},
+		"NaN":                {"X-Other", "1", "NaN"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, map[string]http.Handler{"desk-1": http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("T-Id", r.Header.Get("T-Id"))
+				w.Header().Set("T-Seal", "seal")
+				w.Header().Set("T-Limit", tt.limit)
+				w.Header().Set(tt.field, tt.value)
+			})})
+			f.send(http.MethodPost, "/book/1", "{}")
+			require.True(t, f.opts.Limits.Admits(f.clock.now(), "desk-1"))
+		})
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -93,6 +93,8 @@
 	Outliers *outlierpeer.Peer
 	// Suspects holds the requests that crash servers; nil for none.
 	Suspects *Suspects
+	// Limits holds the limits that backend servers have named.
+	Limits *pushback.Limits
 	// DenyMaxAge is the maximum age of the last confirmation of the configuration with which a
 	// request may be denied; 0 for the default.
 	DenyMaxAge time.Duration
@@ -113,7 +115,6 @@
 	upstream       *upstream.Client
 	streams        *activeStreams
 	workers        *ants.Pool
-	limits         *pushback.Limits
 	log            zerolog.Logger
 	startedAt      time.Time
 
@@ -131,7 +132,7 @@
 func NewServer(opts Options) (*Server, error) {
 	s := &Server{
 		opts: opts, fields: opts.Dialect.Fields, internalFields: map[string]bool{}, upstream: upstream.New(),
-		streams: newActiveStreams(), limits: pushback.NewLimits(), log: opts.Log, startedAt: opts.Now(),
+		streams: newActiveStreams(), log: opts.Log, startedAt: opts.Now(),
 	}
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internalFields[strings.ToLower(name)] = true
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -20,6 +20,7 @@
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
@@ -43,6 +44,8 @@
 	})
 	coldLimits := balancer.ColdLimits{ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack}
 	lb := balancer.New(coldLimits, rand.New(rand.NewPCG(rand.Uint64(), 1)), nil)
+	in.limits = pushback.NewLimits(pushback.Options{Share: in.share, Listed: in.isListed})
+	lb.SetLimits(in.limits)
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
@@ -60,7 +63,7 @@
 	in.suspects = ingress.NewSuspects()
 	in.suspects.Broadcast = func(entries []crashsuspect.Entry) { in.gossip.BroadcastSuspects(entries) }
 	in.gossip, err = gossip.New(gossip.Options{
-		ApplySuspects: in.suspects.Merge, Suspects: in.suspects.Newest,
+		ApplySuspects: in.suspects.Merge, Suspects: in.suspects.Newest, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
 		Seeds:  in.seeds(),
 		Status: in.status, Handlers: in.handlers(),
@@ -161,7 +164,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Suspects: in.suspects,
+		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Suspects: in.suspects, Limits: in.limits,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
@@ -172,6 +175,18 @@
 // instances returns the number of instances that share common limits.
 func (in *instance) instances() int { return in.table.Count(time.Now()) }
 
+// share returns this instance's share of the limit that a server has named.
+func (in *instance) share(now time.Time, server string) pushback.Share {
+	return pushback.Share{
+		Rank: in.table.ShareRank(server), Instances: in.table.Count(now), Known: in.gossip.Joined() && in.table.KnowsOthers(now, in.startedAt),
+	}
+}
+
+func (in *instance) isListed(server string) bool {
+	_, ok := in.state.Server(server)
+	return ok
+}
+
 // callerAddresses returns the instances for callers in an availability zone.
 func (in *instance) callerAddresses(zone string) []string {
 	return in.table.CallerAddresses(rand.New(rand.NewPCG(rand.Uint64(), 4)), zone, maxAddresses)
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -29,6 +29,7 @@
 	"pollenspindle.example/pollenspindle/internal/outlierpeer"
 	"pollenspindle.example/pollenspindle/internal/planner"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
@@ -99,6 +100,8 @@
 	rollouts   *rolloutpeer.Peer
 	outliers   *outlierpeer.Peer
 	suspects   *ingress.Suspects
+	limits     *pushback.Limits
+	startedAt  time.Time
 	follower   *platformstate.Follower
 	server     *ingress.Server
 	background sync.WaitGroup
@@ -121,7 +124,7 @@
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	telemetry.CaptureLibraries(tel.Log)
-	in := &instance{opts: opts, cfg: cfg, tel: tel, log: telemetry.ComponentLogger(tel.Log, "serve")}
+	in := &instance{opts: opts, cfg: cfg, tel: tel, log: telemetry.ComponentLogger(tel.Log, "serve"), startedAt: time.Now()}
 	if err := in.build(ctx); err != nil {
 		in.log.Error().Err(err).Msg("instance can't start")
 		return merry.Wrap(ErrStart, merry.WithCause(err))
--- a/internal/membership/select.go
+++ b/internal/membership/select.go
@@ -208,6 +208,24 @@
 
 func weight(key, id string) uint64 { return xxhash.Sum64String(key + "\n" + id) }
 
+// ShareRank returns the rank of this instance for a key among all known ones. As with [Table.Count],
+// instances marked as down count, since they may be partitioned and still running.
+func (t *Table) ShareRank(key string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rank, ok := t.cache.shareRanks[key]
+	if !ok {
+		own := weight(key, t.self.ID)
+		for id := range t.others {
+			if weight(key, id) > own {
+				rank++
+			}
+		}
+		t.cache.shareRanks[key] = rank
+	}
+	return rank
+}
+
 // Rank returns the rank of this instance for a key among the running ones: those that
 // reach the platform rank before those that don't, and instances that shut down last.
 // unreachable reports whether the platform doesn't answer one of the others.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -88,6 +88,23 @@
 	return n
 }
 
+// minKnownShare is the share of the instances that this one must know for its ranks to be about
+// right.
+const minKnownShare = 0.8
+
+// joinTime is how long it takes after a start until hundreds of instances that have started
+// together know each other.
+const joinTime = 5 * time.Second
+
+// KnowsOthers reports whether this instance, which has started at startedAt, knows most of the
+// others.
+func (t *Table) KnowsOthers(now, startedAt time.Time) bool {
+	n := t.Count(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(startedAt) >= joinTime && float64(1+len(t.others)) >= minKnownShare*float64(n)
+}
+
 // Digest returns a hash of the processes that are known to run.
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -61,10 +61,12 @@
 
 // cache holds frequently requested results that depend only on the records.
 type cache struct {
-	owners   map[string][]Record
-	ranks    map[string]rankResult
-	children map[string][]Record
-	digest   uint64
+	owners map[string][]Record
+	ranks  map[string]rankResult
+	// shareRanks holds the ranks of this instance among all known ones.
+	shareRanks map[string]int
+	children   map[string][]Record
+	digest     uint64
 }
 
 // rankResult is the rank of this instance, and whether the platform doesn't answer another
@@ -78,7 +80,7 @@
 func (t *Table) invalidate() { t.cache = newCache() }
 
 func newCache() cache {
-	return cache{owners: map[string][]Record{}, ranks: map[string]rankResult{}, children: map[string][]Record{}}
+	return cache{owners: map[string][]Record{}, ranks: map[string]rankResult{}, shareRanks: map[string]int{}, children: map[string][]Record{}}
 }
 
 // NewTable returns a table that holds only this instance.
