Keep the request rate in a server's load report on our own interface

A load report may now name a rate, and the server's owner keeps it when it grants permits, at once or from its queue. A deputy grants half of it, since the owner may be alive; a new owner starts with a pause, since the previous one may have granted just before. An unavailable server's Retry-After isn't shorter than that pause.

--- a/internal/admission/capacity.go
+++ b/internal/admission/capacity.go
@@ -59,6 +59,9 @@
 	if it.MaxRunning > 0 && s.running[it.Workspace] >= it.MaxRunning {
 		return false
 	}
+	if !s.rate.admits(now) {
+		return false
+	}
 	switch p := s.policy.(type) {
 	case Unlimited:
 		return true
--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -46,6 +46,7 @@
 		incarnation: s.report.Incarnation,
 		runningAt:   s.Running(),
 	}
+	s.rate.take(now, s.rateShare())
 	if s.isSlow() {
 		s.lastProbe = now
 	}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -43,6 +43,7 @@
 		restart = s.endIncarnation(now, old)
 	}
 	s.limit.SetReportedCold(r.Cold)
+	s.rate.set(now, r.MaxPerSecond)
 	s.adjustMargin(r, restart != nil)
 	if r.TokenInterval > 0 {
 		s.interval.Observe(r.Batch, float64(r.TokenInterval)/float64(time.Millisecond))
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -21,6 +21,7 @@
 	cfg      Config
 	policy   Policy
 	limit    *slowstart.Limit
+	rate     rateLimit
 	interval *forecast.Interval
 	lengths  *outputlength.Estimator
 	queue    *queue.Queue
@@ -91,6 +92,7 @@
 // counted.
 func (s *Server) Open(reportAfter time.Time) {
 	s.open = true
+	s.rate = rateLimit{}
 	s.reportAfter = reportAfter
 	s.reported = s.reported && !s.report.MeasuredAt.Before(reportAfter)
 }
@@ -249,7 +251,7 @@
 }
 
 func (s *Server) unavailable(now time.Time, id string) Decision {
-	return Unavailable{RequestID: id, LoadPermille: s.LoadPermille(now), RetryAfter: s.queue.RetryAfter(s.queue.Len())}
+	return Unavailable{RequestID: id, LoadPermille: s.LoadPermille(now), RetryAfter: max(s.rate.wait(now), s.queue.RetryAfter(s.queue.Len()))}
 }
 
 func (s *Server) deleteQueued(id string) {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -148,6 +148,9 @@
 	// tokens.
 	Batch         int
 	TokenInterval time.Duration
+	// MaxPerSecond is the number of requests per second that the server takes from all instances; 0
+	// for no limit.
+	MaxPerSecond float64
 	// Preemptions is the number of preemptions since the incarnation started.
 	Preemptions int
 }
--- a/internal/engine/reports.go
+++ b/internal/engine/reports.go
@@ -42,6 +42,9 @@
 	AcceptedTotal       int64   `json:"acceptedTotal"`
 	FinishedTotal       int64   `json:"finishedTotal"`
 	RefusedTotal        int64   `json:"refusedTotal"`
+	// MaxPerSecond is the number of requests per second that the engine takes from all instances
+	// together; 0 for no limit.
+	MaxPerSecond float64 `json:"maxPerSecond,omitempty"`
 }
 
 // RunningSequence is one generation in a load report.
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -51,7 +51,7 @@
 			MeasuredAt:  sentAt.Add(-millis(r.MeasuredMillisAgo)),
 			Cold:        r.State == service.LoadCold,
 			Leaving:     r.State == service.LoadLeaving,
-			Running:     r.Running,
+			Running:     r.Running, MaxPerSecond: max(0, r.MaxPerSecond),
 		}, err
 	}
 	r, err := c.Engine.Load(ctx, address)
@@ -66,6 +66,7 @@
 		Batch:         len(r.Running),
 		TokenInterval: time.Duration(r.TokenIntervalMillis * float64(time.Millisecond)),
 		Preemptions:   int(r.Preemptions),
+		MaxPerSecond:  max(0, r.MaxPerSecond),
 	}
 	for _, s := range r.Running {
 		report.Sequences = append(report.Sequences, admission.Sequence{ID: s.ID, Prompt: s.PromptTokens, Output: s.OutputTokens})
--- a/internal/pushback/limits_test.go
+++ b/internal/pushback/limits_test.go
@@ -65,11 +65,9 @@
 }
 
 // add starts an instance that knows no other.
-func (f *fleet) add() *instance {
-	in := &instance{}
-	f.instances = append(f.instances, in)
+func (f *fleet) add() {
+	f.instances = append(f.instances, &instance{})
 	f.restart(len(f.instances) - 1)
-	return in
 }
 
 // restart starts an instance anew, without any knowledge.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -190,6 +190,9 @@
 	Running       int       `json:"running"`
 	AcceptedTotal int64     `json:"acceptedTotal"`
 	FinishedTotal int64     `json:"finishedTotal"`
+	// MaxPerSecond is the number of requests per second that the service takes from all instances
+	// together; 0 for no limit.
+	MaxPerSecond float64 `json:"maxPerSecond,omitempty"`
 }
 
 // Load reads the load report of a service.
--- a/internal/standin/engine/loadreportdelta.go
+++ b/internal/standin/engine/loadreportdelta.go
@@ -20,6 +20,7 @@
 	AcceptedTotal       *int64                   `json:"acceptedTotal,omitempty"`
 	FinishedTotal       *int64                   `json:"finishedTotal,omitempty"`
 	RefusedTotal        *int64                   `json:"refusedTotal,omitempty"`
+	MaxPerSecond        *float64                 `json:"maxPerSecond,omitempty"`
 	Running             []engine.RunningSequence `json:"running,omitempty"`
 	Ended               []int                    `json:"ended,omitempty"`
 	Outputs             []int                    `json:"outputs,omitempty"`
@@ -45,6 +46,9 @@
 	if before.TokenIntervalMillis != after.TokenIntervalMillis {
 		c.TokenIntervalMillis = &after.TokenIntervalMillis
 	}
+	if before.MaxPerSecond != after.MaxPerSecond {
+		c.MaxPerSecond = &after.MaxPerSecond
+	}
 	currentByID := map[string]engine.RunningSequence{}
 	for _, s := range after.Running {
 		currentByID[s.ID] = s
--- a/internal/standin/service/handlers.go
+++ b/internal/standin/service/handlers.go
@@ -150,6 +150,7 @@
 		Running:       s.running,
 		AcceptedTotal: s.accepted,
 		FinishedTotal: s.finished,
+		MaxPerSecond:  s.maxPerSecond,
 	}
 }
 
@@ -200,6 +201,24 @@
 	c.SetStatusCode(http.StatusNoContent)
 }
 
+// limitRequest is the body of /control/limit.
+type limitRequest struct {
+	// MaxPerSecond is the limit; 0 for none.
+	MaxPerSecond float64 `json:"maxPerSecond"`
+}
+
+func (s *Server) handleLimit(_ context.Context, c *app.RequestContext) {
+	var req limitRequest
+	if json.Unmarshal(c.Request.Body(), &req) != nil {
+		c.SetStatusCode(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxPerSecond = req.MaxPerSecond
+	c.SetStatusCode(http.StatusNoContent)
+}
+
 func (s *Server) handleLeave(_ context.Context, c *app.RequestContext) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,6 +12,7 @@
 //	PUT  /control/faults  sets the [Faults]
 //	POST /control/cold    makes the service cold; body {"millis":5000}
 //	POST /control/leave   makes it refuse new requests and report that it is leaving
+//	POST /control/limit   sets the requests per second that it reports to take; body {"maxPerSecond":2}
 //	POST /control/crash   drops the running requests and starts a new incarnation
 //	GET  /control/ledger  returns the [Ledger]
 package service
@@ -104,6 +105,7 @@
 	incarnation      string
 	coldUntil        time.Time
 	leaving          bool
+	maxPerSecond     float64
 	faults           Faults
 	running          int
 	accepted         int64
@@ -148,6 +150,7 @@
 	h.PUT("/control/faults", s.handleFaults)
 	h.POST("/control/cold", s.handleCold)
 	h.POST("/control/leave", s.handleLeave)
+	h.POST("/control/limit", s.handleLimit)
 	h.POST("/control/crash", s.handleCrash)
 	h.GET("/control/ledger", s.handleLedger)
 	h.NoRoute(s.handle)
