Log the pause that a backend server asks for

Pauses are now read, logged when they begin, and counted. No request is placed otherwise than before.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -164,7 +164,7 @@
 	lb.SetLimits(limits)
 	server, err := NewServer(Options{
 		Callers: callers, Ready: listen(), Directory: listen(), Zone: "zone-a", State: f.state, Dialect: testDialect(),
-		Balancer: lb, Limits: limits,
+		Balancer: lb, Limits: limits, Pauses: pushback.NewPauses(),
 		Retries:   retry.NewBudgets(rng),
 		Instances: func() int { return 1 }, Addresses: func(string) []string { return []string{"a"} },
 		Grace: 8 * time.Second, Log: zerolog.New(logged), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Now: f.clock.now,
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -21,6 +21,7 @@
 	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(sentAt, r, place, extra), stream)
 	if err == nil && s.isFrom(place.Server, r, response) {
 		s.recordLimit(sentAt, place.Server, response)
+		s.recordPause(place.Server, response)
 	}
 	return response, err
 }
@@ -55,6 +56,21 @@
 	}
 }
 
+// recordPause records that a server wants no request from this instance for some time.
+func (s *Server) recordPause(server platformstate.Server, response *upstream.Response) {
+	if response.Status != http.StatusServiceUnavailable {
+		return
+	}
+	pause, ok := pushback.ParseRetryAfter(response.Get("Retry-After"))
+	if !ok {
+		return
+	}
+	s.opts.Scope.Counter("server_pauses").Inc(1)
+	if s.opts.Pauses.Record(s.opts.Now(), server.ID, pause) {
+		s.log.Info().Str("server", server.ID).Dur("pause", pause).Msg("backend server asks for a pause")
+	}
+}
+
 // callerPatience is the share of the remaining time for which callers wait as told.
 const callerPatience = 1.0 / 3
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -95,6 +95,8 @@
 	Suspects *Suspects
 	// Limits holds the limits that backend servers have named.
 	Limits *pushback.Limits
+	// Pauses holds until when backend servers want no request from this instance.
+	Pauses *pushback.Pauses
 	// DenyMaxAge is the maximum age of the last confirmation of the configuration with which a
 	// request may be denied; 0 for the default.
 	DenyMaxAge time.Duration
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -46,6 +46,7 @@
 	lb := balancer.New(coldLimits, rand.New(rand.NewPCG(rand.Uint64(), 1)), nil)
 	in.limits = pushback.NewLimits(pushback.Options{Share: in.share, Listed: in.isListed})
 	lb.SetLimits(in.limits)
+	in.pauses = pushback.NewPauses()
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
@@ -164,7 +165,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Suspects: in.suspects, Limits: in.limits,
+		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Suspects: in.suspects, Limits: in.limits, Pauses: in.pauses,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
 	})
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -101,6 +101,7 @@
 	outliers   *outlierpeer.Peer
 	suspects   *ingress.Suspects
 	limits     *pushback.Limits
+	pauses     *pushback.Pauses
 	startedAt  time.Time
 	follower   *platformstate.Follower
 	server     *ingress.Server
