Keep the pause that a backend server asks for

Cause: a refusal excluded the server for that request only. For the next one it had the lowest load of all, since it turned away at once what others worked on, and so it drew more and more.

The class of fault is an answer that binds one request and is meant for the instance. Where all servers pause, the caller is refused at once and told to come back after the first pause has ended.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -113,12 +113,16 @@
 // Limited means that servers are available, but their own limits admit no request now.
 type Limited struct{}
 
+// Paused means that servers are available, but all want no request from this instance until then.
+type Paused struct{ Until time.Time }
+
 // None means that no server is available.
 type None struct{}
 
 func (Picked) choice()  {}
 func (Full) choice()    {}
 func (Limited) choice() {}
+func (Paused) choice()  {}
 func (None) choice()    {}
 
 // Balancer places the requests of one instance. It is safe for concurrent use.
@@ -135,6 +139,8 @@
 	shouldAvoid func(now time.Time, id string, repeatable bool) bool
 	// limits, if set, holds the limits that servers have named.
 	limits *pushback.Limits
+	// pauses, if set, holds until when servers want no request from this instance.
+	pauses *pushback.Pauses
 	// changed signals a change of the own load. Its buffer holds one signal: a slow reader reads
 	// the latest load in any case.
 	changed chan struct{}
@@ -196,10 +202,18 @@
 // pick chooses the server with the lowest score.
 func (b *Balancer) pick(now time.Time, r Request, servers []platformstate.Server) Choice {
 	best, bestScore := -1, math.Inf(1)
-	usable, limited := 0, 0
+	usable, limited, unsuited := 0, 0, 0
+	var pausedUntil time.Time
 	for i := range servers {
 		s := &servers[i]
+		if pause := b.pause(now, s.ID); pause > 0 {
+			if until := now.Add(pause); pausedUntil.IsZero() || until.Before(pausedUntil) {
+				pausedUntil = until
+			}
+			continue
+		}
 		if r.Excluded[s.ID] || !b.admitsCold(now, r, s) {
+			unsuited++
 			continue
 		}
 		if !b.admits(now, s.ID) {
@@ -219,6 +233,8 @@
 	switch {
 	case usable == 0 && limited > 0:
 		return Limited{}
+	case usable == 0 && unsuited == 0 && !pausedUntil.IsZero():
+		return Paused{Until: pausedUntil}
 	case usable == 0:
 		return None{}
 	case best < 0:
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -162,9 +162,11 @@
 	})
 	lb := balancer.New(balancer.ColdLimits{}, rng, nil)
 	lb.SetLimits(limits)
+	pauses := pushback.NewPauses()
+	lb.SetPauses(pauses)
 	server, err := NewServer(Options{
 		Callers: callers, Ready: listen(), Directory: listen(), Zone: "zone-a", State: f.state, Dialect: testDialect(),
-		Balancer: lb, Limits: limits, Pauses: pushback.NewPauses(),
+		Balancer: lb, Limits: limits, Pauses: pauses,
 		Retries:   retry.NewBudgets(rng),
 		Instances: func() int { return 1 }, Addresses: func(string) []string { return []string{"a"} },
 		Grace: 8 * time.Second, Log: zerolog.New(logged), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Now: f.clock.now,
--- a/internal/ingress/migrator.go
+++ b/internal/ingress/migrator.go
@@ -44,6 +44,11 @@
 			p.Copies++
 			p.LastCopyTime = elapsed
 		case migration.Cutover:
+			if m.dropPausedTarget(ctx) {
+				p.Copies, p.LastCopyTime = 0, 0
+				p.Refusals++
+				continue
+			}
 			m.cutOver(ctx)
 			return
 		}
@@ -154,6 +159,18 @@
 	}
 }
 
+// dropPausedTarget gives up a copy whose target has asked for a pause since it was chosen, and
+// reports whether there was one.
+func (m *migrator) dropPausedTarget(ctx context.Context) bool {
+	id := m.target.Server.ID
+	if m.s.opts.Pauses.Remaining(m.s.opts.Now(), id) == 0 {
+		return false
+	}
+	m.excluded[id] = true
+	m.abandon(ctx)
+	return true
+}
+
 // cutOver stops the generation and passes the result to the handler of the stream. If the engine
 // can't be reached any more, the generation resumes from its copy.
 func (m *migrator) cutOver(ctx context.Context) {
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/answer"
@@ -47,6 +45,8 @@
 		return balancer.Placement{}, s.fullFailure()
 	case balancer.Limited:
 		return balancer.Placement{}, s.limitedFailure(now, r)
+	case balancer.Paused:
+		return balancer.Placement{}, s.pausedFailure(now, r, choice.Until)
 	}
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendLost, "no backend server is available")
 	f.RetryAfter = noServerRetryAfter
@@ -97,7 +97,7 @@
 	}
 	req := planner.PlacementRequest{
 		RequestID: r.id, Service: r.service.Name, Zone: s.opts.Zone, PromptTokens: r.promptTokens, RequiredTokens: r.promptTokens + r.expectedOutput,
-		Excluded: append(slices.Collect(maps.Keys(t.excluded)), s.opts.Limits.Limited(s.opts.Now())...), MaxPrefillWaitMillis: r.route.TargetLatency.Milliseconds(),
+		Excluded: s.withheldServers(t), MaxPrefillWaitMillis: r.route.TargetLatency.Milliseconds(),
 	}
 	id, err := s.opts.Planner.Place(ctx, req)
 	if err != nil {
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -74,11 +76,32 @@
 // callerPatience is the share of the remaining time for which callers wait as told.
 const callerPatience = 1.0 / 3
 
+// withheldServers returns the servers that must not get the request: those excluded by earlier
+// attempts, and those that take no request of this instance now.
+func (s *Server) withheldServers(t *attempts) []string {
+	now := s.opts.Now()
+	ids := slices.Collect(maps.Keys(t.excluded))
+	return append(append(ids, s.opts.Limits.Limited(now)...), s.opts.Pauses.Paused(now)...)
+}
+
+// patience returns how long the caller of a request waits as told.
+func (r *request) patience(now time.Time) time.Duration {
+	return time.Duration(float64(r.callerDeadline.Sub(now)) * callerPatience)
+}
+
+// pausedFailure refuses a request because all servers have asked this instance for a pause. Others
+// may not have been asked, so that a caller that can't wait for the end may come back before.
+func (s *Server) pausedFailure(now time.Time, r *request, until time.Time) *answer.Failure {
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "the backend servers have asked for a pause")
+	wait := until.Sub(now) + time.Duration(s.rng().Int64N(int64(fullRetryJitter)))
+	f.RetryAfter = max(fullRetryAfter, min(wait, r.patience(now)))
+	return f
+}
+
 // limitedFailure refuses a request because the limits of all servers are used up.
 func (s *Server) limitedFailure(now time.Time, r *request) *answer.Failure {
-	patience := time.Duration(float64(r.callerDeadline.Sub(now)) * callerPatience)
 	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "the limits of the backend servers are used up")
-	f.RetryAfter = s.opts.Limits.RetryAfter(now, r.service.Name, s.serverIDs(r), patience)
+	f.RetryAfter = s.opts.Limits.RetryAfter(now, r.service.Name, s.serverIDs(r), r.patience(now))
 	return f
 }
 
--- a/internal/ingress/pushback_test.go
+++ b/internal/ingress/pushback_test.go
@@ -93,3 +93,51 @@
 		})
 	}
 }
+
+// pausingServer is a plain server that refuses requests and asks for a pause while it is set.
+type pausingServer struct {
+	retryAfter atomic.Value
+	calls      atomic.Int64
+}
+
+func (s *pausingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	if value, _ := s.retryAfter.Load().(string); value != "" {
+		w.Header().Set("T-Not-Run", "shed")
+		w.Header().Set("Retry-After", value)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("T-Seal", "seal")
+}
+
+// Guards against first attempts and retries that reach a server in the pause it has asked for, and
+// against a Retry-After that brings the caller back within it.
+func TestPauseBindsAllAttempts(t *testing.T) {
+	paused := &pausingServer{}
+	paused.retryAfter.Store("2.5")
+	f := startFixture(t, map[string]http.Handler{"desk-1": paused})
+	for _, path := range []string{"/book/1", "/book/1", "/read/1"} {
+		resp := f.send(http.MethodPost, path, "{}")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, seconds, 2.3)
+	}
+	require.EqualValues(t, 1, paused.calls.Load())
+	paused.retryAfter.Store("")
+	f.clock.advance(2600 * time.Millisecond)
+	require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+}
+
+// Guards against callers that are refused while another server has room.
+func TestPauseSendsCallersToOtherServers(t *testing.T) {
+	paused, free := &pausingServer{}, &pausingServer{}
+	paused.retryAfter.Store("30")
+	f := startFixture(t, map[string]http.Handler{"desk-1": paused, "desk-2": free})
+	for range 20 {
+		require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/book/1", "{}").StatusCode)
+	}
+	require.LessOrEqual(t, paused.calls.Load(), int64(1))
+}
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -47,6 +47,7 @@
 	in.limits = pushback.NewLimits(pushback.Options{Share: in.share, Listed: in.isListed})
 	lb.SetLimits(in.limits)
 	in.pauses = pushback.NewPauses()
+	lb.SetPauses(in.pauses)
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
--- a/internal/pushback/pauses.go
+++ b/internal/pushback/pauses.go
@@ -1,6 +1,7 @@
 package pushback
 
 import (
+	"maps"
 	"math"
 	"strconv"
 	"strings"
@@ -36,7 +37,28 @@
 	defer p.mu.Unlock()
 	before := p.until[server]
 	if until := now.Add(pause); until.After(before) {
+		maps.DeleteFunc(p.until, func(_ string, ended time.Time) bool { return !now.Before(ended) })
 		p.until[server] = until
 	}
 	return !now.Before(before)
 }
+
+// Remaining returns how long a server still wants no request from this instance; 0 if it takes them.
+func (p *Pauses) Remaining(now time.Time, server string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.until[server].Sub(now))
+}
+
+// Paused returns the servers that want no request from this instance.
+func (p *Pauses) Paused(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for server, until := range p.until {
+		if now.Before(until) {
+			out = append(out, server)
+		}
+	}
+	return out
+}
