Reproduce requests to a server that says it is leaving (known red)

A server that leaves says so in its responses; nothing reads that, so that the platform's list alone decides, which may say ready or come and go.

--- a/internal/platformstate/state_test.go
+++ b/internal/platformstate/state_test.go
@@ -138,3 +138,32 @@
 		}
 	})
 }
+
+// Guards against requests to a server that has announced that it leaves, after the platform has
+// listed it as ready again.
+func TestAnnouncedLeavingLastsAsLongAsTheIncarnation(t *testing.T) {
+	ready := server("a")
+	ready.StartedAtMillis = 1000
+	moved, restarted := ready, ready
+	moved.Zone = "zone-b"
+	restarted.StartedAtMillis = 2000
+	tests := map[string]struct {
+		then func(s *State)
+		want []string
+	}{
+		"listed again":         {func(s *State) { s.ReplaceServers(start, 2, []dialect.Server{ready}) }, nil},
+		"changed":              {func(s *State) { s.ChangeServers(start, 1, 2, []Change{{ID: "a", Server: &moved}}) }, nil},
+		"gone and listed anew": {func(s *State) { s.ReplaceServers(start, 2, nil); s.ReplaceServers(start, 3, []dialect.Server{ready}) }, nil},
+		"restarted":            {func(s *State) { s.ReplaceServers(start, 2, []dialect.Server{restarted}) }, []string{"a"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			s.ReplaceServers(start, 1, []dialect.Server{ready})
+			s.MarkLeaving("a")
+			require.Empty(t, ids(s))
+			tt.then(s)
+			require.Equal(t, tt.want, ids(s))
+		})
+	}
+}
