Send nothing to a server that has said that it is leaving

Cause: who leaves was taken from the platform's list alone. The field Server-Leaving was read by nobody, and a notice from an engine's load report was lost as soon as the platform listed the engine anew.

An announcement now holds for the server's incarnation, whatever the platform lists; a restart under the same id, with another start time, ends it. Generations on such an engine migrate as they do when the platform lists it as leaving. Engines that left while other instances don't know are excluded from the planner's choice.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -48,6 +48,8 @@
 	Instance string
 	// RateLimit is the number of requests per second that a backend server takes from all instances.
 	RateLimit string
+	// Leaving is set in all responses of a backend server that is leaving.
+	Leaving string
 	// Internal lists the fields that callers may not set.
 	Internal []string
 }
--- a/internal/ingress/migrations.go
+++ b/internal/ingress/migrations.go
@@ -145,7 +145,7 @@
 		return
 	}
 	s.log.Info().Str("server", server.ID).Dur("leavesIn", report.LeavesIn).Msg("engine reports that it is leaving")
-	s.opts.State.MarkLeaving(server.ID)
+	s.opts.State.MarkLeaving(server)
 }
 
 // mustMigrate reports whether the engine of a stream is about to leave, or its version is being
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -24,6 +24,7 @@
 	if err == nil && s.isFrom(place.Server, r, response) {
 		s.recordLimit(sentAt, place.Server, response)
 		s.recordPause(place.Server, response)
+		s.recordLeaving(place.Server, response)
 	}
 	return response, err
 }
@@ -73,15 +74,27 @@
 	}
 }
 
+// recordLeaving records that a server says in its response that it is leaving.
+func (s *Server) recordLeaving(server platformstate.Server, response *upstream.Response) {
+	if value := response.Get(s.fields.Leaving); value == "" || value == "0" {
+		return
+	}
+	if s.opts.State.MarkLeaving(server) {
+		s.opts.Scope.Counter("servers_announced_leaving").Inc(1)
+		s.log.Info().Str("server", server.ID).Msg("backend server says that it is leaving")
+	}
+}
+
 // callerPatience is the share of the remaining time for which callers wait as told.
 const callerPatience = 1.0 / 3
 
 // withheldServers returns the servers that must not get the request: those excluded by earlier
-// attempts, and those that take no request of this instance now.
+// attempts, those that take no request of this instance now, and those that have said that they
+// leave, which another instance may not know.
 func (s *Server) withheldServers(t *attempts) []string {
 	now := s.opts.Now()
 	ids := slices.Collect(maps.Keys(t.excluded))
-	return append(append(ids, s.opts.Limits.Limited(now)...), s.opts.Pauses.Paused(now)...)
+	return slices.Concat(ids, s.opts.Limits.Limited(now), s.opts.Pauses.Paused(now), s.opts.State.Departed())
 }
 
 // patience returns how long the caller of a request waits as told.
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -119,11 +119,13 @@
 		}
 		s.remove(now, known)
 	} else {
+		leaving := c.Server.Leaving || s.hasDeparted(c.Server)
 		same := ok && known.missingSince.IsZero() && known.listed == *c.Server
-		if same && known.Leaving == c.Server.Leaving && c.Server.ColdRemaining == 0 {
+		if same && known.Leaving == leaving && c.Server.ColdRemaining == 0 {
 			return
 		}
 		e := entry{Server: Server{Server: *c.Server, ColdUntil: now.Add(c.Server.ColdRemaining), ListedSince: now}, listed: *c.Server}
+		e.Leaving = leaving
 		s.recordVersion(now, &e)
 		s.put(e)
 		if same {
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -82,6 +82,9 @@
 
 	mu      sync.Mutex
 	servers map[string]entry
+	// departed holds the servers that have announced themselves that they leave, with the start time
+	// of their incarnation.
+	departed map[string]int64
 	// touched holds the IDs of the servers, by service, that changed since eligible was
 	// published.
 	touched   map[string]map[string]bool
@@ -111,7 +114,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	s := &State{
-		servers: map[string]entry{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, releases: newReleases(), changed: make(chan struct{}, 1),
+		servers: map[string]entry{}, departed: map[string]int64{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, releases: newReleases(), changed: make(chan struct{}, 1),
 	}
 	s.hashes[Zones] = zonesHash(s.zones)
 	s.hashes[Rollouts] = rolloutsHash(nil)
@@ -251,18 +254,48 @@
 	}
 }
 
-// MarkLeaving records a shutdown notice from the server itself, if the platform doesn't
-// deliver it.
-func (s *State) MarkLeaving(id string) {
+// maxDeparted is the number of departed servers from which on those that aren't listed are dropped.
+const maxDeparted = 1024
+
+// MarkLeaving records that a server has announced itself that it leaves, and reports whether that is
+// news. It holds for the server's incarnation, whatever the platform lists: its entry may come late,
+// or be missing for a while.
+func (s *State) MarkLeaving(server Server) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.servers[id]
-	if !ok || e.Leaving {
-		return
+	if s.hasDeparted(&server.Server) {
+		return false
 	}
-	e.Leaving = true
-	s.put(e)
-	s.publish()
+	if len(s.departed) >= maxDeparted {
+		maps.DeleteFunc(s.departed, func(id string, _ int64) bool { _, listed := s.servers[id]; return !listed })
+	}
+	s.departed[server.ID] = server.StartedAtMillis
+	if e, ok := s.servers[server.ID]; ok && s.hasDeparted(&e.Server.Server) && !e.Leaving {
+		e.Leaving = true
+		s.put(e)
+		s.publish()
+	}
+	return true
+}
+
+// hasDeparted reports whether this incarnation of a server has announced that it leaves.
+func (s *State) hasDeparted(server *dialect.Server) bool {
+	startedAt, ok := s.departed[server.ID]
+	return ok && startedAt == server.StartedAtMillis
+}
+
+// Departed returns the servers that have announced that they leave while the platform lists them as
+// ready: other instances may still choose them.
+func (s *State) Departed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for id := range s.departed {
+		if e, ok := s.servers[id]; ok && !e.listed.Leaving {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // Sweep removes entries that are still missing after an outage.
--- a/internal/platformstate/state_test.go
+++ b/internal/platformstate/state_test.go
@@ -112,7 +112,7 @@
 				s.ReplaceZones(start, version, []string{changed.Zone})
 				s.ChangeServers(start, version-1, version, nil)
 			case 4:
-				s.MarkLeaving(changed.ID)
+				s.MarkLeaving(Server{Server: changed})
 				s.ChangeServers(start, version-1, version, nil)
 			}
 			rebuilt, zones := NewState(), []string(nil)
@@ -160,7 +160,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			s.ReplaceServers(start, 1, []dialect.Server{ready})
-			s.MarkLeaving("a")
+			require.True(t, s.MarkLeaving(Server{Server: ready}))
 			require.Empty(t, ids(s))
 			tt.then(s)
 			require.Equal(t, tt.want, ids(s))
