Keep the pause that a server asks for on our own interface

The outcome of a permit now carries the pause, and the router leaves the server out until it has ended: new requests, requests that wait in its queue, and permits that haven't been used. If all servers of a pool pause, the caller is refused with the time until the first pause ends. The owner isn't told, as the pause is meant for the instance that was refused. Retry-After may have fractions.

TestPauseBindsNewRequestsAndPermits covers both kinds of placing; no run on the code before it was made, whose Outcome has no such field.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -39,6 +39,7 @@
 	"pollenspindle.example/pollenspindle/internal/controlcost"
 	"pollenspindle.example/pollenspindle/internal/eventstream"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 )
 
 // Headers specific to engines.
@@ -216,11 +217,8 @@
 }
 
 func retryAfter(resp *httpclient.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
+	d, _ := pushback.ParseRetryAfter(resp.Header.Get("Retry-After"))
+	return d
 }
 
 // getJSON decodes the JSON response to a GET into v. meter counts the cost.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -92,6 +93,7 @@
 	acquired int
 	expired  bool
 	endings  []permit.Ending
+	pauses   []time.Duration
 	refuseAt int
 }
 
@@ -118,6 +120,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.endings = append(p.endings, o.Ending)
+	p.pauses = append(p.pauses, o.Pause)
 }
 
 // newClaims returns claims in an in-memory platform; if down is set, it refuses all calls.
@@ -288,3 +291,22 @@
 	require.Equal(t, answer.OutcomeNotRun, answer.FromError(err).Outcome)
 	require.Empty(t, s.called)
 }
+
+// Guards against a pause that a service asks for and that only the refused call hears of.
+func TestPauseIsReportedWithThePermit(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		want   time.Duration
+	}{
+		"unavailable": {http.StatusServiceUnavailable, 3 * time.Second},
+		"too many":    {http.StatusTooManyRequests, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &fakePermits{}
+			f := newTestForwarder(t, &fakeService{errs: []error{&service.Refusal{Status: tt.status, RetryAfter: 3 * time.Second}}}, p, newClaims(false))
+			_, _ = f.Do(t.Context(), testCall(true, "", "{}"))
+			require.Equal(t, tt.want, p.pauses[0])
+		})
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -28,6 +28,8 @@
 	// retryable is set if another attempt can't run a non-idempotent call twice.
 	retryable bool
 	cause     retry.Cause
+	// pause is the pause that the service asked for; 0 for none.
+	pause time.Duration
 	// permitExpired is set if the permit expired unused.
 	permitExpired bool
 }
@@ -93,7 +95,7 @@
 	start := time.Now()
 	res := result{ending: permit.EndingLost}
 	defer func() {
-		f.opts.Permits.Release(p, permit.Outcome{Ending: res.ending, Duration: time.Since(start)})
+		f.opts.Permits.Release(p, permit.Outcome{Ending: res.ending, Duration: time.Since(start), Pause: res.pause})
 		f.opts.Scope.Tagged(map[string]string{"zone": p.Zone, "ending": string(res.ending)}).Counter("attempts").Inc(1)
 	}()
 	// If the process was paused since it acquired the permit, the slot may have been given to
@@ -167,9 +169,12 @@
 		"the backend server refused the request before running it")
 	f.RetryAfter = max(r.RetryAfter, defaultRetryAfter)
 	res := result{ending: permit.EndingRefused, failure: f, retryable: true, cause: retry.CauseRefused}
-	if r.Status == http.StatusTooManyRequests {
+	switch r.Status {
+	case http.StatusTooManyRequests:
 		f.Status = http.StatusTooManyRequests
 		res.cause = retry.CauseOverload
+	case http.StatusServiceUnavailable:
+		res.pause = r.RetryAfter
 	}
 	return res
 }
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -106,6 +106,9 @@
 	FirstToken time.Duration
 	// Duration is the time from sending to the end.
 	Duration time.Duration
+	// Pause is for how long the backend server, in its refusal, wants no further request from this
+	// instance; 0 for none.
+	Pause time.Duration
 }
 
 // Reason is why a request was refused.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,8 +52,8 @@
 	return &attempt{session: s, permit: p, request: request, address: p.Address, starting: true}
 }
 
-func (a *attempt) outcome(e permit.Ending) permit.Outcome {
-	o := permit.Outcome{Ending: e, OutputTokens: a.tokens, FirstToken: a.firstToken}
+func (a *attempt) outcome(res *result) permit.Outcome {
+	o := permit.Outcome{Ending: res.ending, OutputTokens: a.tokens, FirstToken: a.firstToken, Pause: res.pause}
 	if !a.sentAt.IsZero() {
 		o.Duration = time.Since(a.sentAt)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -331,3 +331,17 @@
 	for range g.Messages() {
 	}
 }
+
+// Guards against a pause that an engine asks for and that only the refused generation hears of.
+func TestPauseIsReportedWithThePermit(t *testing.T) {
+	e := &fakeEngine{tokens: 2, behaviours: []behaviour{{err: &RefusedError{Status: 503, RetryAfter: 3 * time.Second}}}}
+	p := &fakePermits{}
+	r := newTestRelay(t, e, p, time.Hour)
+	g, err := r.Generate(t.Context(), Job{Streamed: true})
+	require.NoError(t, err)
+	for range g.Messages() {
+	}
+	require.Eventually(t, func() bool { return len(p.endings()) == 2 }, time.Minute, time.Millisecond)
+	require.Equal(t, 3*time.Second, p.outcomes[0].Pause)
+	require.Zero(t, p.outcomes[1].Pause)
+}
--- a/internal/relay/result.go
+++ b/internal/relay/result.go
@@ -140,6 +140,8 @@
 	case refused.Overload:
 		f.Status = http.StatusTooManyRequests
 		res.cause = retry.CauseOverload
+	case refused.Status == http.StatusServiceUnavailable:
+		res.pause = refused.RetryAfter
 	}
 	return res
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -78,6 +78,8 @@
 	// retryable is set if another attempt can't deliver two generations to the caller.
 	retryable bool
 	cause     retry.Cause
+	// pause is the pause that the engine asked for; 0 for none.
+	pause time.Duration
 }
 
 // generate makes attempts until one succeeds or no retry is allowed.
@@ -144,7 +146,7 @@
 	res := result{ending: permit.EndingLost}
 	defer func() {
 		s.relay.unregister(req.ID)
-		s.relay.opts.Permits.Release(p, a.outcome(res.ending))
+		s.relay.opts.Permits.Release(p, a.outcome(&res))
 		s.relay.opts.Scope.Tagged(map[string]string{"zone": p.Zone, "ending": string(res.ending)}).Counter("attempts").Inc(1)
 	}()
 	res = a.run()
--- a/internal/router/broken_connection.go
+++ b/internal/router/broken_connection.go
@@ -38,13 +38,13 @@
 }
 
 // MaySend implements [permit.Acquirer]. It is called immediately before the first
-// byte is sent: the process may have been paused since the permit was granted, or
-// the server may have restarted.
+// byte is sent: since the permit was granted, the process may have been paused, or the
+// server may have restarted or asked for a pause.
 //
 // Without it, requests granted just before an engine crashed and restarted would
 // all arrive at the cold engine.
 func (r *Router) MaySend(now time.Time, p permit.Permit) bool {
-	if !p.Valid(now) || !r.opts.Members.NewWorkAllowed(now) {
+	if !p.Valid(now) || !r.opts.Members.NewWorkAllowed(now) || r.pauses.Remaining(now, p.Server) > 0 {
 		return false
 	}
 	requestedAt := p.ExpiresAt.Add(-r.opts.PermitLifetime)
--- a/internal/router/candidates.go
+++ b/internal/router/candidates.go
@@ -66,14 +66,14 @@
 		return nil, &permit.Refusal{Reason: permit.ReasonUnknownModel, RetryAfter: defaultRetryAfter}
 	}
 	if _, ok := r.opts.Policy.(Predicted); !ok {
-		return r.baseline(snap, key, req), nil
+		return r.baseline(now, snap, key, req), nil
 	}
 	all := r.currentRings(snap)
 	for _, ring := range []*placement.Ring{all.sameRegion[key], all.otherRegions[key]} {
 		if ring == nil {
 			continue
 		}
-		query := placement.Query{Hash: req.PrefixHash, Zone: r.opts.Self.Zone, Request: req, Accepts: snap.AcceptsRequests}
+		query := placement.Query{Hash: req.PrefixHash, Zone: r.opts.Self.Zone, Request: req, Accepts: r.accepts(now, snap)}
 		r.mu.Lock()
 		found := placement.Choose(now, ring, query, r.views, r.rng)
 		r.mu.Unlock()
@@ -124,11 +124,12 @@
 }
 
 // baseline orders all servers of a pool, ignoring prompt prefixes.
-func (r *Router) baseline(snap *config.Snapshot, key poolKey, req *permit.Request) []*pollenspindle.Server {
+func (r *Router) baseline(now time.Time, snap *config.Snapshot, key poolKey, req *permit.Request) []*pollenspindle.Server {
 	var found []*pollenspindle.Server
+	accepts := r.accepts(now, snap)
 	for i := range snap.Config.Servers {
 		server := &snap.Config.Servers[i]
-		if slices.Contains(poolKeys(server), key) && snap.AcceptsRequests(server) && !slices.Contains(req.ExcludeServers, server.Name) {
+		if slices.Contains(poolKeys(server), key) && accepts(server) && !slices.Contains(req.ExcludeServers, server.Name) {
 			found = append(found, server)
 		}
 	}
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -43,6 +43,9 @@
 // the release is dropped and counted: the owner frees the slot when the server's
 // load report no longer shows the request.
 func (r *Router) Release(p permit.Permit, o permit.Outcome) {
+	if o.Pause > 0 {
+		r.recordPause(time.Now(), p.Server, o.Pause)
+	}
 	rel := release{owner: p.Owner, at: time.Now(), urgent: o.Ending == permit.EndingLost || o.Ending == permit.EndingCrashed, released: &peerv1.Released{
 		Server:           p.Server,
 		PermitId:         p.ID,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"pollenspindle.example/pollenspindle/internal/peer/peerv1"
 	"pollenspindle.example/pollenspindle/internal/permit"
 	"pollenspindle.example/pollenspindle/internal/placement"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/roster"
 	"pollenspindle.example/pollenspindle/pkg/pollenspindle"
 )
@@ -86,6 +87,8 @@
 	opts     Options
 	rings    atomic.Pointer[rings]
 	releases chan release
+	// pauses holds until when backend servers want no request from this instance.
+	pauses *pushback.Pauses
 	// roundRobin counts requests for the RoundRobin and LeastRequests policies.
 	roundRobin atomic.Uint64
 
@@ -104,6 +107,7 @@
 	return &Router{
 		opts:     opts,
 		releases: make(chan release, releaseCapacity),
+		pauses:   pushback.NewPauses(),
 		rng:      rand.New(rand.NewPCG(opts.Seed, 2)),
 		views:    placement.Views{},
 		down:     map[string]time.Time{},
@@ -125,7 +129,7 @@
 		if len(candidates) == 0 {
 			// No server may take the request, or each has refused or lost it already.
 			// Waiting changes neither, so the caller is refused immediately.
-			return permit.Permit{}, &permit.Refusal{Reason: permit.ReasonNoServer, RetryAfter: defaultRetryAfter}
+			return permit.Permit{}, r.noCandidates(now, &req)
 		}
 		p, refusal := r.acquireFrom(ctx, candidates, &req)
 		if refusal == nil {
@@ -213,7 +217,8 @@
 				return a.permit, nil
 			}
 		}
-		if server := r.opts.Config().Servers[server.Name]; server == nil || !r.opts.Config().AcceptsRequests(server) {
+		snap := r.opts.Config()
+		if server := snap.Servers[server.Name]; server == nil || !r.accepts(time.Now(), snap)(server) {
 			return permit.Permit{}, &permit.Refusal{Reason: permit.ReasonNoServer, RetryAfter: defaultRetryAfter}
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -138,3 +138,46 @@
 		require.LessOrEqual(t, n, 7, "%s of %v", server, local.granted)
 	}
 }
+
+// Guards against requests, new or with a permit, to a server that has asked this instance for a
+// pause, and against a refusal that brings the caller back within it.
+func TestPauseBindsNewRequestsAndPermits(t *testing.T) {
+	const pause = 3 * time.Second
+	for name, policy := range map[string]router.Policy{"predicted": router.Predicted{}, "baseline": router.RoundRobin{}} {
+		t.Run(name, func(t *testing.T) {
+			self := roster.Instance{ID: "i1", Zone: "a", Region: "r"}
+			members := soleOwner{roster: roster.New(1, roster.Object{Number: 1, Instances: []roster.Instance{self}})}
+			snap := config.NewSnapshot(1, declared())
+			local := countingOwner{granted: map[string]int{}}
+			r := router.New(router.Options{
+				Self: self, Members: members, Local: local, Policy: policy, Seed: 1, PermitLifetime: time.Second,
+				Config: func() *config.Snapshot { return snap }, Log: zerolog.Nop(), Metrics: tally.NoopScope,
+			})
+			acquire := func() (permit.Permit, error) {
+				now := time.Now()
+				return r.Acquire(t.Context(), now, permit.Request{ID: "r", Service: "briefing", Model: "m", Workspace: "w", Deadline: now.Add(time.Hour)})
+			}
+			refuse := func(p permit.Permit) {
+				r.Release(p, permit.Outcome{Ending: permit.EndingRefused, Pause: pause})
+			}
+			first, err := acquire()
+			require.NoError(t, err)
+			require.True(t, r.MaySend(time.Now(), first))
+			refuse(first)
+			require.False(t, r.MaySend(time.Now(), first))
+			for range 20 {
+				p, err := acquire()
+				require.NoError(t, err)
+				require.NotEqual(t, first.Server, p.Server)
+			}
+			for i := range snap.Config.Servers {
+				refuse(permit.Permit{Server: snap.Config.Servers[i].Name})
+			}
+			_, err = acquire()
+			var refusal *permit.Refusal
+			require.ErrorAs(t, err, &refusal)
+			require.Equal(t, permit.ReasonOverloaded, refusal.Reason)
+			require.Greater(t, refusal.RetryAfter, pause-time.Second)
+		})
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -22,7 +22,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,6 +30,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/controlcost"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 )
 
 // The kinds of failure of a call to a plain service. They determine what a caller may learn about
@@ -154,9 +154,7 @@
 		return nil
 	}
 	refusal := &Refusal{Status: status}
-	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		refusal.RetryAfter = time.Duration(seconds) * time.Second
-	}
+	refusal.RetryAfter, _ = pushback.ParseRetryAfter(resp.Header.Get("Retry-After"))
 	return refusal
 }
 
