Share a server's limit among a few more instances

Callers of instances that hold no part of a limit are refused where all servers of a service name limits, although holders may have room. With three holders more than the server takes requests in a second, at 7 instances and 2.5 a second six hold a part instead of three.

--- a/internal/pushback/limits.go
+++ b/internal/pushback/limits.go
@@ -29,9 +29,9 @@
 	// minPerSecond is the rate at which a server is sent requests however low its limit is: only its
 	// responses say that the limit has ended.
 	minPerSecond = 0.1
-	// minHolders is the minimum number of instances that share a limit, so that a server isn't cut
-	// off while one of them is down.
-	minHolders = 2
+	// extraHolders is the number of instances that share a limit in addition to one for each request
+	// per second: callers of the other instances are refused while the holders may have room.
+	extraHolders = 3
 	// burstTime is the time whose requests a holder may send at once after a pause, but one at least.
 	burstTime = time.Second
 )
@@ -67,10 +67,10 @@
 
 // perSecond returns the part of a limit that this instance may use.
 //
-// There are at most as many holders as the server takes requests in a second: with bursts of one
-// request each, they exceed the limit by no more than that.
+// With bursts of one request each, the holders exceed the limit by their number, which is about what
+// the server takes in a second.
 func (s Share) perSecond(l Limit) float64 {
-	holders := min(s.Instances, max(minHolders, int(math.Ceil(min(l.rate(), float64(s.Instances))))))
+	holders := min(s.Instances, extraHolders+int(math.Ceil(min(l.rate(), float64(s.Instances)))))
 	if !s.Known || s.Rank >= holders {
 		return 0
 	}
