Reject limits that aren't finite

An infinite Server-Limit was taken, and can't be encoded in the messages between instances: one such answer of a server would have ended all probes of the instances that heard it. A former holder doesn't use up what it had left either.

--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/answer"
@@ -41,16 +40,13 @@
 // recordLimit records the request rate that a server names in its response, or that it names none.
 // Only a response with a seal shows that it names none.
 func (s *Server) recordLimit(sentAt time.Time, server platformstate.Server, response *upstream.Response) {
-	var limit pushback.Limit
-	if value := response.Get(s.fields.RateLimit); value != "" {
-		perSecond, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(perSecond >= 0) {
-			s.log.Warn().Str("server", server.ID).Str("value", value).Msg("backend server names an invalid limit")
-			return
-		}
-		limit = pushback.Limit{PerSecond: perSecond, Named: true}
-	}
-	if !limit.Named && response.Get(s.fields.Seal) == "" {
+	value := response.Get(s.fields.RateLimit)
+	limit, ok := pushback.ParseLimit(value)
+	switch {
+	case value != "" && !ok:
+		s.log.Warn().Str("server", server.ID).Str("value", value).Msg("backend server names an invalid limit")
+		return
+	case value == "" && response.Get(s.fields.Seal) == "":
 		return
 	}
 	if s.opts.Limits.Observe(s.opts.Now(), sentAt, server.ID, limit) {
--- a/internal/ingress/pushback_test.go
+++ b/internal/ingress/pushback_test.go
@@ -79,6 +79,7 @@
 		"not a number":       {"X-Other", "1", "few"},
 		"below zero":         {"X-Other", "1", "-1"},
 		"NaN":                {"X-Other", "1", "NaN"},
+		"infinite":           {"X-Other", "1", "Inf"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/pushback/limits.go
+++ b/internal/pushback/limits.go
@@ -1,12 +1,12 @@
 // Package pushback holds what backend servers ask of the instances in their responses. It does no
 // I/O; the present time is an argument.
 //
-// A server under pressure names the rate of requests that it takes from all instances together, for
-// as long as its responses carry it. The rate is divided among a few instances of the server's own
-// choice by hashing, the holders; the others send it nothing. Every instance derives the same
-// holders from the instances that it knows, also from those that it can't reach, so that the sum
-// holds without a coordinator. Instances tell each other of limits, since one that sends nothing
-// to a server doesn't hear that its limit has ended.
+// [Limits]: a server under pressure names the rate of requests that it takes from all instances
+// together, for as long as its responses carry it. The rate is divided among a few instances chosen
+// by hashing, the holders; the others send it nothing. Every instance derives the same holders from
+// the instances that it knows, also from those that it can't reach, so that the sum holds without a
+// coordinator. Instances tell each other of limits, since one that sends nothing to a server doesn't
+// hear that its limit has ended.
 //
 // # Usage
 //
@@ -21,6 +21,8 @@
 
 import (
 	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,6 +38,15 @@
 	burstTime = time.Second
 )
 
+// ParseLimit parses a limit in a response, in requests per second.
+func ParseLimit(value string) (Limit, bool) {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		return Limit{}, false
+	}
+	return Limit{PerSecond: perSecond, Named: true}, true
+}
+
 // Limit is the request rate that a server takes from all instances together.
 type Limit struct {
 	// PerSecond is the rate in requests per second.
@@ -158,7 +169,7 @@
 
 func (l *Limits) admits(now time.Time, server string, st *limitState) bool {
 	l.fill(now, server, st)
-	return st.tokens >= 1
+	return st.perSecond > 0 && st.tokens >= 1
 }
 
 // Take counts a request to a server, also one that Admits didn't admit.
--- a/internal/pushback/limits_test.go
+++ b/internal/pushback/limits_test.go
@@ -336,3 +336,30 @@
 	require.Equal(t, []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second, 7 * time.Second}, waits)
 	require.Equal(t, 3*time.Second, limits.RetryAfter(start.Add(5*time.Second), "desk", []string{server}, 7*time.Second))
 }
+
+// Guards against a value that can't be sent to other instances, which would end all of their
+// messages.
+func TestParseLimit(t *testing.T) {
+	tests := map[string]struct {
+		value string
+		want  float64
+		ok    bool
+	}{
+		"decimal":   {"2.5", 2.5, true},
+		"zero":      {"0", 0, true},
+		"spaces":    {" 4 ", 4, true},
+		"none":      {"", 0, false},
+		"negative":  {"-1", 0, false},
+		"not one":   {"few", 0, false},
+		"NaN":       {"NaN", 0, false},
+		"infinite":  {"Inf", 0, false},
+		"too large": {"1e400", 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			limit, ok := pushback.ParseLimit(tt.value)
+			require.Equal(t, tt.ok, ok)
+			require.Equal(t, pushback.Limit{PerSecond: tt.want, Named: tt.ok}, limit)
+		})
+	}
+}
