--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -213,3 +213,25 @@
 	}
 	require.Zero(t, late)
 }
+
+// Guards against instances that send a cold server more than it takes because all of them use their
+// share at the same moment.
+func TestColdLimitHoldsForAllInstancesTogether(t *testing.T) {
+	const overage, slack = 1.5, 5
+	svc := &routes.Service{Name: "desk", ColdRequestsPerSecond: 10}
+	cold := []platformstate.Server{{Server: dialect.Server{ID: "a", Service: "desk", Slots: 1000}, ColdUntil: start.Add(time.Minute)}}
+	for _, instances := range []int{7, 350} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			sent := 0
+			for i := range instances {
+				b := New(ColdLimits{ColdOverage: overage, ColdSlack: slack}, rand.New(rand.NewPCG(1, uint64(i))), nil)
+				for range 3 {
+					if _, ok := b.Pick(start, Request{Service: svc, Instances: instances}, cold).(Picked); ok {
+						sent++
+					}
+				}
+			}
+			require.LessOrEqual(t, float64(sent), svc.ColdRequestsPerSecond*overage+slack)
+		})
+	}
+}
