Free the slot of a permit that no sender was told of

What callers saw: a plain server of our own interface that got nothing any more, two of two slots taken by nobody (four takes, then none in 4 s, with its rate limited; a limit isn't needed for it).

Cause: a request that waits in one server's queue takes a permit of another server meanwhile, and its place in the queue lives on for some seconds. If the place is granted then, nobody knows of the permit and nobody releases it. Engines list their requests, so that a later report frees the slot; a plain server only counts them, so that the slot was kept until it restarted.

A grant from the queue now counts as unclaimed until a waiting call gets it or its sender asks again, and an unclaimed one is dropped when its permit has expired.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -353,3 +353,35 @@
 	s.MarkBroken(at(1300), g.PermitID)
 	granted(t, s.Acquire(at(1310), request("next")))
 }
+
+// Guards against a slot of a plain server that is lost for good: a queued request is granted after
+// its sender has found another server, and nobody releases the permit.
+func TestUnclaimedGrantOfPlainServerExpires(t *testing.T) {
+	plain := func(millis, running int) admission.Report {
+		return admission.Report{Incarnation: "a", MeasuredAt: at(millis), Running: running}
+	}
+	tests := map[string]struct {
+		claim func(s *admission.Server)
+		free  bool
+	}{
+		"nobody waits":        {func(*admission.Server) {}, true},
+		"delivered":           {func(s *admission.Server) { s.Claim("3") }, false},
+		"asked for once more": {func(s *admission.Server) { s.Acquire(at(250), request("3")) }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := admission.New(cfg, admission.Predicted{}, outputlength.NewEstimator(outputlength.DefaultParams))
+			s.Open(start)
+			s.ApplyReport(at(0), plain(0, 0))
+			granted(t, s.Acquire(at(10), request("1")))
+			granted(t, s.Acquire(at(20), request("2")))
+			require.IsType(t, admission.Queued{}, s.Acquire(at(30), request("3")))
+			s.Release(at(200), "permit-1", permit.Outcome{Ending: permit.EndingCancelled})
+			granted(t, s.Tick(at(200))[0])
+			tt.claim(s)
+			s.ApplyReport(at(5100), plain(5000, 1))
+			s.Tick(at(5100))
+			require.Equal(t, tt.free, s.Running() == 1)
+		})
+	}
+}
--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -20,6 +20,8 @@
 	output int
 	// firstTokenSeen is set once the request has got its first token.
 	firstTokenSeen bool
+	// unclaimed is set while no sender has been told of the permit.
+	unclaimed bool
 	// endedAt is set when the connection was lost: the server may still be
 	// running the request, so a report must confirm that it ended.
 	endedAt time.Time
@@ -102,6 +104,13 @@
 	return nil
 }
 
+// Claim records that the sender of a queued request has been told of its permit.
+func (s *Server) Claim(requestID string) {
+	if g, ok := s.grants[requestID]; ok {
+		g.unclaimed = false
+	}
+}
+
 // MarkBroken records that the connection of a request under a permit broke. The
 // request keeps its slot.
 func (s *Server) MarkBroken(now time.Time, permitID string) {
@@ -151,9 +160,13 @@
 }
 
 // removeUnused removes expired permits whose request isn't in a later report: the
-// sender crashed or never sent it.
+// sender crashed or never sent it. Permits that no sender was told of need no report.
 func (s *Server) removeUnused(now time.Time) {
 	for _, g := range s.grants {
+		if g.unclaimed && now.After(g.expiresAt) {
+			s.remove(now, g)
+			continue
+		}
 		last := g.expiresAt
 		if !g.endedAt.IsZero() && g.endedAt.After(last) {
 			last = g.endedAt
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -174,6 +174,7 @@
 func (s *Server) Acquire(now time.Time, a AcquireRequest) Decision {
 	id := a.Request.ID
 	if g, ok := s.grants[id]; ok {
+		g.unclaimed = false
 		return s.grantedDecision(now, g)
 	}
 	ready := s.ready()
@@ -225,6 +226,7 @@
 		a := s.queuedRequests[it.ID]
 		s.deleteQueued(it.ID)
 		out = append(out, s.grant(now, a, polled))
+		s.grants[it.ID].unclaimed = true
 	}
 }
 
--- a/internal/owner/entry.go
+++ b/internal/owner/entry.go
@@ -98,6 +98,7 @@
 		id := requestID(d)
 		if w, ok := e.waiters[id]; ok {
 			delete(e.waiters, id)
+			e.state.Claim(id)
 			w <- d
 		}
 	}
