--- a/test/failure/pushback_test.go
+++ b/test/failure/pushback_test.go
@@ -43,6 +43,7 @@
 	s.Control(t, address, http.MethodPost, "/control/limit", map[string]float64{"maxPerSecond": 0})
 	writes.waitServed(t, 40)
 
+	more := startLoad(t, s, d, 24, s.Instances, write(d))
 	s.Control(t, address, http.MethodPut, "/control/faults", standin.Faults{Refuse: 1 << 20})
 	waitElapsed(t, time.Now(), servicePause)
 	refused, at := s.ServiceLedger(t, "desk-1").Refused, time.Now()
@@ -50,7 +51,7 @@
 	refused = s.ServiceLedger(t, "desk-1").Refused - refused
 	pauses := int64(pushbackSpan/servicePause) + 1
 	require.LessOrEqual(t, refused, int64(len(s.Instances))*pauses*(1+maxInPause))
-	for _, r := range writes.Stop() {
+	for _, r := range append(writes.Stop(), more.Stop()...) {
 		require.NoError(t, r.err)
 	}
 	t.Logf("accepted %d within %s at %g a second, refused %d", accepted, pushbackSpan, maxPerSecond, refused)
