--- a/internal/ingress/streams_test.go
+++ b/internal/ingress/streams_test.go
@@ -72,6 +72,8 @@
 	conflicts    int
 	// garblesResponse makes the engine stop and answer with invalid JSON.
 	garblesResponse bool
+	// onMigration, if set, is called with each request for a migration.
+	onMigration func(dialect.MigrationRequest)
 
 	stop              chan struct{}
 	mu                sync.Mutex
@@ -88,6 +90,9 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.migrationRequests = append(m.migrationRequests, req)
+		if m.onMigration != nil {
+			m.onMigration(req)
+		}
 		if req.Stop && m.stopped && m.conflicts > 0 {
 			m.conflicts--
 			w.WriteHeader(http.StatusConflict)
@@ -383,3 +388,40 @@
 		})
 	}
 }
+
+// Guards against a generation that resumes on an engine that has asked for a pause since the copy
+// was made.
+func TestGenerationIsNotCutOverToPausingEngine(t *testing.T) {
+	engines, handlers := map[string]*migratableEngine{}, map[string]http.Handler{}
+	for _, id := range []string{"llm-1", "llm-2", "llm-3"} {
+		engines[id] = &migratableEngine{stop: make(chan struct{})}
+		handlers[id] = engines[id]
+	}
+	f := startFixture(t, handlers)
+	paused := ""
+	pauseFirstTarget := func(req dialect.MigrationRequest) {
+		for _, s := range f.servers {
+			if s.Address == req.Target && paused == "" {
+				paused = s.ID
+				f.opts.Pauses.Record(f.clock.now(), s.ID, time.Minute)
+			}
+		}
+	}
+	for _, e := range engines {
+		e.onMigration = pauseFirstTarget
+	}
+	resp := f.send("POST", "/plan/1", "{}", "T-Tokens", "3000,4000", "T-Hint", "900")
+	source := resp.Header.Get("T-Seal")
+	for i := range f.servers {
+		f.servers[i].Leaving = strings.HasSuffix(source, f.servers[i].ID)
+	}
+	f.state.ReplaceServers(f.clock.now(), 2, f.servers)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, wantEvents(7), string(body))
+	require.NotEmpty(t, paused)
+	for id, e := range engines {
+		resumes := id != paused && !strings.HasSuffix(source, id)
+		require.Equal(t, resumes, e.resumedFrom != "", id)
+	}
+}
