Answer 503, not 429, while all servers of a pool pause

A pause isn't a rate of the caller's: the refusal is that of no server, with the end of the first pause as Retry-After.

The test's stand-in asks for a second's pause with every refusal, which instances didn't keep before; the next case now begins after it. What is checked in each case is unchanged.

--- a/internal/router/pause.go
+++ b/internal/router/pause.go
@@ -25,12 +25,13 @@
 	}
 }
 
-// noCandidates returns the refusal of a request for which there is no server, with the end of the
-// first pause if there is one to wait for.
+// noCandidates returns the refusal of a request for which there is no server. If all servers that
+// could take it pause, its Retry-After is the end of the first pause.
 func (r *Router) noCandidates(now time.Time, req *permit.Request) *permit.Refusal {
 	refusal := &permit.Refusal{Reason: permit.ReasonNoServer, RetryAfter: defaultRetryAfter}
 	snap := r.opts.Config()
 	key := poolKey{service: req.Service, model: req.Model}
+	var shortest time.Duration
 	for i := range snap.Config.Servers {
 		server := &snap.Config.Servers[i]
 		if !snap.AcceptsRequests(server) || !slices.Contains(poolKeys(server), key) {
@@ -38,11 +39,14 @@
 		}
 		pause := r.pauses.Remaining(now, server.Name)
 		if pause == 0 {
-			return &permit.Refusal{Reason: permit.ReasonNoServer, RetryAfter: defaultRetryAfter}
+			return refusal
 		}
-		if refusal.Reason == permit.ReasonNoServer || pause < refusal.RetryAfter {
-			refusal = &permit.Refusal{Reason: permit.ReasonOverloaded, RetryAfter: pause}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
 		}
 	}
+	if shortest > 0 {
+		refusal.RetryAfter = shortest
+	}
 	return refusal
 }
--- a/test/failure/claims_test.go
+++ b/test/failure/claims_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -177,6 +178,9 @@
 				require.Equal(t, r.Body, again.Body)
 			}
 			require.Equal(t, tt.repeat, countEffects(t, s, name))
+			if tt.faults.Refuse > 0 {
+				waitElapsed(t, time.Now(), servicePause)
+			}
 		})
 	}
 }
