--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -354,8 +354,7 @@
 	granted(t, s.Acquire(at(1310), request("next")))
 }
 
-// Guards against a slot of a plain server that is lost for good: a queued request is granted after
-// its sender has found another server, and nobody releases the permit.
+// Guards against losing a plain server's slot to a queued request whose sender has gone elsewhere.
 func TestUnclaimedGrantOfPlainServerExpires(t *testing.T) {
 	plain := func(millis, running int) admission.Report {
 		return admission.Report{Incarnation: "a", MeasuredAt: at(millis), Running: running}
--- a/internal/admission/rate_test.go
+++ b/internal/admission/rate_test.go
@@ -41,8 +41,7 @@
 	return n
 }
 
-// Guards against an owner that grants, at once or from its queue, more requests than the server
-// takes, and against a deputy that grants as many while the owner may be alive.
+// Guards against an owner or a deputy that grants more requests than the server takes.
 func TestGrantsKeepReportedRate(t *testing.T) {
 	const seconds = 8
 	tests := map[string]struct {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -214,8 +214,7 @@
 	require.Zero(t, late)
 }
 
-// Guards against instances that send a cold server more than it takes because all of them use their
-// share at the same moment.
+// Guards against instances that all use their share of a cold server's rate at one moment.
 func TestColdLimitHoldsForAllInstancesTogether(t *testing.T) {
 	const overage, slack = 1.5, 5
 	svc := &routes.Service{Name: "desk", ColdRequestsPerSecond: 10}
--- a/internal/ingress/pushback_test.go
+++ b/internal/ingress/pushback_test.go
@@ -29,8 +29,7 @@
 	w.WriteHeader(max(s.status, http.StatusOK))
 }
 
-// Guards against requests, first attempts or retries, to a server whose limit is used up, and
-// against a Retry-After that brings the caller back while it still is.
+// Guards against requests to a server whose limit is used up, and a Retry-After that ends before.
 func TestUsedUpLimitRefusesAtOnce(t *testing.T) {
 	desk := &limitingServer{limit: "2"}
 	f := startFixture(t, map[string]http.Handler{"desk-1": desk})
@@ -113,8 +112,7 @@
 	w.Header().Set("T-Seal", "seal")
 }
 
-// Guards against first attempts and retries that reach a server in the pause it has asked for, and
-// against a Retry-After that brings the caller back within it.
+// Guards against attempts within a server's pause, and a Retry-After that ends within it.
 func TestPauseBindsAllAttempts(t *testing.T) {
 	paused := &pausingServer{}
 	paused.retryAfter.Store("2.5")
--- a/internal/ingress/streams_test.go
+++ b/internal/ingress/streams_test.go
@@ -389,8 +389,7 @@
 	}
 }
 
-// Guards against a generation that resumes on an engine that has asked for a pause since the copy
-// was made.
+// Guards against resuming on an engine that has asked for a pause since the copy was made.
 func TestGenerationIsNotCutOverToPausingEngine(t *testing.T) {
 	engines, handlers := map[string]*migratableEngine{}, map[string]http.Handler{}
 	for _, id := range []string{"llm-1", "llm-2", "llm-3"} {
--- a/internal/platformstate/state_test.go
+++ b/internal/platformstate/state_test.go
@@ -139,8 +139,7 @@
 	})
 }
 
-// Guards against requests to a server that has announced that it leaves, after the platform has
-// listed it as ready again.
+// Guards against requests to a leaving server that the platform lists as ready again.
 func TestAnnouncedLeavingLastsAsLongAsTheIncarnation(t *testing.T) {
 	ready := server("a")
 	ready.StartedAtMillis = 1000
--- a/internal/pushback/limits_test.go
+++ b/internal/pushback/limits_test.go
@@ -145,8 +145,7 @@
 	return most
 }
 
-// Guards against instances that together exceed the request rate that a server names, while some
-// start, end or don't hear the others.
+// Guards against instances that together exceed the rate that a server names.
 func TestSumOfInstancesKeepsLimit(t *testing.T) {
 	tests := map[string]func(f *fleet){
 		"calm": func(f *fleet) { f.run(20 * time.Second) },
@@ -233,8 +232,7 @@
 	}
 }
 
-// Guards against instances that go on keeping a limit that has ended, because they send the server
-// nothing.
+// Guards against instances that keep a limit that has ended.
 func TestEndOfLimitReachesAll(t *testing.T) {
 	for _, n := range []int{7, 350} {
 		f := newFleet(n, 2.5)
@@ -337,8 +335,7 @@
 	require.Equal(t, 3*time.Second, limits.RetryAfter(start.Add(5*time.Second), "desk", []string{server}, 7*time.Second))
 }
 
-// Guards against a value that can't be sent to other instances, which would end all of their
-// messages.
+// Guards against a value that can't be encoded in messages between instances.
 func TestParseLimit(t *testing.T) {
 	tests := map[string]struct {
 		value string
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -139,8 +139,7 @@
 	}
 }
 
-// Guards against requests, new or with a permit, to a server that has asked this instance for a
-// pause, and against a refusal that brings the caller back within it.
+// Guards against requests within a server's pause, and a Retry-After that ends within it.
 func TestPauseBindsNewRequestsAndPermits(t *testing.T) {
 	const pause = 3 * time.Second
 	for name, policy := range map[string]router.Policy{"predicted": router.Predicted{}, "baseline": router.RoundRobin{}} {
--- a/test/failure/pushback_test.go
+++ b/test/failure/pushback_test.go
@@ -23,8 +23,7 @@
 	maxInPause   = 2
 )
 
-// Guards against instances that exceed the rate in a plain server's load report, or go on sending to
-// one that refuses requests and asks for a pause, while another server has room.
+// Guards against exceeding a plain server's reported rate, and requests within its pauses.
 func TestPlainServersAskForLess(t *testing.T) {
 	const maxPerSecond = 2.0
 	s := start(t, system.Options{Config: addSecondDesk, ServiceArgs: []string{"--delay-millis", "20"}})
