Keep the list of servers out of broadcasts

Cause: the first broadcast after an instance had listed the servers held all of them, and so did one after more changes than the log keeps. A broadcast goes to all instances and is passed on whole, so at a start of all each of n instances told n others of all m servers: n times n times m.

Change: where not all changes are logged, a broadcast tells the version only. Who lacks it finds changes missing and fetches them; contents that are equal need no fetch, whatever their versions.

--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// nextBroadcast returns the message to broadcast. The state before the first one isn't
-// part of it: instances that lack it fetch it.
+// nextBroadcast returns the message to broadcast. It holds recent changes only, since it goes to
+// all instances; those that lack more fetch it.
 func (g *Gossip) nextBroadcast(now time.Time) *Message {
 	p := &g.lastBroadcast
 	if !p.initialized {
@@ -95,6 +95,9 @@
 		p.servers, _ = g.opts.State.Version(platformstate.Servers)
 	}
 	u := g.opts.State.UpdateSince(now, p.servers)
+	if u.Snapshot {
+		u = u.WithoutServers()
+	}
 	p.servers = u.Versions[platformstate.Servers].Version
 	return &Message{
 		Origin: g.self, Incarnation: g.opts.Table.Self().StartedAt, Sequence: g.sequence.Add(1),
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -292,3 +292,39 @@
 		})
 	}
 }
+
+// Guards against starting instances that send all servers to all instances: a broadcast doesn't
+// grow with the servers, and instances that lack them fetch them.
+func TestBroadcastOfFirstListIsSmall(t *testing.T) {
+	const servers, maxBytes = 10000, 4 << 10
+	a, b := startInstance(t, "a", secret("k"), false), startInstance(t, "b", secret("k"), false)
+	a.table.Merge(time.Now(), []membership.Record{b.table.Self()})
+	b.table.Merge(time.Now(), []membership.Record{a.table.Self()})
+	a.nextBroadcast(time.Now())
+	list := make([]string, servers)
+	for i := range list {
+		list[i] = fmt.Sprintf("server-%05d", i)
+	}
+	a.setPlatformState(1, nil, list...)
+	m := a.nextBroadcast(time.Now())
+	raw, err := json.Marshal(m)
+	require.NoError(t, err)
+	require.Less(t, len(raw), maxBytes)
+	a.forward(t.Context(), m)
+	require.Eventually(t, func() bool { return b.hasPlatformState(1, 0, servers) }, testTimeout, testTick)
+}
+
+// Guards against fetches of a snapshot by instances that know the same servers as of an older
+// revision of the platform.
+func TestBroadcastOfSameServersIsNotFetched(t *testing.T) {
+	a, b := startInstance(t, "a", secret("k"), false), startInstance(t, "b", secret("k"), false)
+	a.table.Merge(time.Now(), []membership.Record{b.table.Self()})
+	b.table.Merge(time.Now(), []membership.Record{a.table.Self()})
+	b.setPlatformState(1, nil, "s1", "s2")
+	a.nextBroadcast(time.Now())
+	a.setPlatformState(2, nil, "s1", "s2")
+	m := a.nextBroadcast(time.Now())
+	require.False(t, b.applyUpdate(time.Now(), m.Update, "a"))
+	version, _ := b.state.Version(platformstate.Servers)
+	require.EqualValues(t, 2, version)
+}
--- a/internal/platformstate/update.go
+++ b/internal/platformstate/update.go
@@ -112,6 +112,15 @@
 	return u
 }
 
+// WithoutServers returns a snapshot update without its servers: an instance that lacks them finds
+// that changes are missing, and fetches them. Its size doesn't grow with the number of servers.
+func (u Update) WithoutServers() Update {
+	u.Snapshot, u.Servers = false, nil
+	u.From = u.Versions[Servers].Version
+	u.MinFrom = u.From
+	return u
+}
+
 // Apply applies an update and reports whether changes before it are missing.
 func (s *State) Apply(now time.Time, u *Update) (missing bool) {
 	s.mu.Lock()
@@ -141,7 +150,8 @@
 		s.setStage(u.Rollouts[i].ID, u.Rollouts[i].Stage)
 	}
 	s.mergeVersions(now, &u.Versions)
-	return missing
+	// Equal contents need no changes, whatever their versions.
+	return missing && s.versions[Servers] < at
 }
 
 // MergeVersions applies the versions of another instance. If its contents are the same,
