Exhaust the limit of served state in its test

Cause: the test took all bytes of a second with AllowN, which takes none if fewer are left.

Change: ReserveN takes them in any case. What is checked is unchanged.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -215,7 +215,7 @@
 	require.Same(t, &first[0], &again[0])
 	require.Less(t, age, snapshotTTL)
 
-	seed.serveLimiter.AllowN(time.Now(), servedPerSecond)
+	seed.serveLimiter.ReserveN(time.Now(), servedPerSecond)
 	_, _, err = newcomer.fetchCompressed(t.Context(), seed.address, snapshotProcedure)
 	require.ErrorIs(t, err, ErrFetch, "one instance serves all")
 }
