Share the records of servers

Cause: each instance held each server three times (as listed, as known, in the list of its service), and each change of one server copied the list of its service, 160 bytes a server. The log of changes kept the lists that they came from.

Change: a server is one record that never changes; the entry, the lists and the log refer to it. Names of services, zones and versions are shared. A choice among many servers draws no permutation of all, and the planner's choice is found by binary search.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -153,7 +153,7 @@
 }
 
 // Pick chooses a server and counts the load on it.
-func (b *Balancer) Pick(now time.Time, r Request, servers []platformstate.Server) Choice {
+func (b *Balancer) Pick(now time.Time, r Request, servers []*platformstate.Server) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	choice := b.pick(now, r, b.sample(r, servers))
@@ -178,14 +178,19 @@
 )
 
 // sample draws a few servers from a long list.
-func (b *Balancer) sample(r Request, servers []platformstate.Server) []platformstate.Server {
+func (b *Balancer) sample(r Request, servers []*platformstate.Server) []*platformstate.Server {
 	if len(servers) <= compareAllLimit || r.CompareAll || r.SpreadKey != 0 {
 		return servers
 	}
-	out := make([]platformstate.Server, 0, sameZoneSample+otherZoneSample)
+	out := make([]*platformstate.Server, 0, sameZoneSample+otherZoneSample)
 	sameZone, otherZone := sameZoneSample, otherZoneSample
-	for _, i := range b.rng.Perm(len(servers)) {
-		s := servers[i]
+	at, step := b.rng.IntN(len(servers)), b.coprime(len(servers))
+	for range servers {
+		at = (at + step) % len(servers)
+		s := servers[at]
+		if sameZone+otherZone == 0 {
+			break
+		}
 		remaining := &otherZone
 		if s.Zone == r.Zone {
 			remaining = &sameZone
@@ -199,13 +204,26 @@
 	return out
 }
 
+// coprime returns a random step that visits all positions of a list of n once.
+func (b *Balancer) coprime(n int) int {
+	for {
+		step := 1 + b.rng.IntN(n)
+		x, y := step, n
+		for y != 0 {
+			x, y = y, x%y
+		}
+		if x == 1 {
+			return step
+		}
+	}
+}
+
 // pick chooses the server with the lowest score.
-func (b *Balancer) pick(now time.Time, r Request, servers []platformstate.Server) Choice {
+func (b *Balancer) pick(now time.Time, r Request, servers []*platformstate.Server) Choice {
 	best, bestScore := -1, math.Inf(1)
 	usable, limited, unsuited := 0, 0, 0
 	var pausedUntil time.Time
-	for i := range servers {
-		s := &servers[i]
+	for i, s := range servers {
 		if pause := b.pause(now, s.ID); pause > 0 {
 			if until := now.Add(pause); pausedUntil.IsZero() || until.Before(pausedUntil) {
 				pausedUntil = until
@@ -240,30 +258,29 @@
 	case best < 0:
 		return Full{}
 	}
-	return Picked{Placement: Placement{Server: servers[best], Tokens: r.Tokens, PromptTokens: r.PromptTokens}, Score: bestScore}
+	return Picked{Placement: Placement{Server: *servers[best], Tokens: r.Tokens, PromptTokens: r.PromptTokens}, Score: bestScore}
 }
 
 // FreeServers returns the servers with capacity for a request, best first. It doesn't count any
 // load.
-func (b *Balancer) FreeServers(now time.Time, r Request, servers []platformstate.Server) []platformstate.Server {
+func (b *Balancer) FreeServers(now time.Time, r Request, servers []*platformstate.Server) []*platformstate.Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	type scored struct {
-		server platformstate.Server
+		server *platformstate.Server
 		score  float64
 	}
 	var all []scored
-	for i := range servers {
-		s := &servers[i]
+	for _, s := range servers {
 		if r.Excluded[s.ID] || !b.admitsCold(now, r, s) {
 			continue
 		}
 		if load := b.utilization(now, r, s); load <= serviceLimit(r.Service) {
-			all = append(all, scored{*s, b.score(now, r, s, load)})
+			all = append(all, scored{s, b.score(now, r, s, load)})
 		}
 	}
 	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(x.score, y.score) })
-	out := make([]platformstate.Server, len(all))
+	out := make([]*platformstate.Server, len(all))
 	for i := range all {
 		out[i] = all[i].server
 	}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -25,10 +25,10 @@
 	return New(ColdLimits{ColdOverage: 1.5, ColdSlack: 5}, rand.New(rand.NewPCG(1, 2)), others)
 }
 
-func servers(n, slots int) []platformstate.Server {
-	out := make([]platformstate.Server, n)
+func servers(n, slots int) []*platformstate.Server {
+	out := make([]*platformstate.Server, n)
 	for i := range out {
-		out[i].Server = dialect.Server{ID: fmt.Sprintf("s%d", i), Slots: slots, Zone: fmt.Sprintf("zone-%d", i%3)}
+		out[i] = &platformstate.Server{Server: dialect.Server{ID: fmt.Sprintf("s%d", i), Slots: slots, Zone: fmt.Sprintf("zone-%d", i%3)}}
 	}
 	return out
 }
@@ -158,7 +158,7 @@
 
 func TestChoiceWithoutCapacity(t *testing.T) {
 	tests := map[string]struct {
-		list     []platformstate.Server
+		list     []*platformstate.Server
 		excluded map[string]bool
 		tokens   int
 		want     Choice
@@ -218,7 +218,7 @@
 func TestColdLimitHoldsForAllInstancesTogether(t *testing.T) {
 	const overage, slack = 1.5, 5
 	svc := &routes.Service{Name: "desk", ColdRequestsPerSecond: 10}
-	cold := []platformstate.Server{{Server: dialect.Server{ID: "a", Service: "desk", Slots: 1000}, ColdUntil: start.Add(time.Minute)}}
+	cold := []*platformstate.Server{{Server: dialect.Server{ID: "a", Service: "desk", Slots: 1000}, ColdUntil: start.Add(time.Minute)}}
 	for _, instances := range []int{7, 350} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			sent := 0
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -106,14 +106,13 @@
 	if t.excluded[id] || s.opts.Balancer.Failures(s.opts.Now(), id) >= maxRecentFailures || !s.opts.Balancer.Admits(s.opts.Now(), id) {
 		return balancer.Placement{}, planner.ErrUnavailable
 	}
-	for _, server := range s.opts.State.Servers(r.service.Name) {
-		if server.ID == id {
-			place := balancer.Placement{Server: server, Tokens: req.RequiredTokens, PromptTokens: r.promptTokens}
-			s.opts.Balancer.Reserve(s.opts.Now(), place)
-			s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.sends+1).
-				Int("tokens", place.Tokens).Msg("request placed by the planner")
-			return place, nil
-		}
+	server, ok := s.opts.State.Eligible(r.service.Name, id)
+	if !ok {
+		return balancer.Placement{}, planner.ErrUnavailable
 	}
-	return balancer.Placement{}, planner.ErrUnavailable
+	place := balancer.Placement{Server: *server, Tokens: req.RequiredTokens, PromptTokens: r.promptTokens}
+	s.opts.Balancer.Reserve(s.opts.Now(), place)
+	s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.sends+1).
+		Int("tokens", place.Tokens).Msg("request placed by the planner")
+	return place, nil
 }
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -46,7 +46,7 @@
 	byZone  map[string]int
 }
 
-func layoutOf(engines []platformstate.Server) layout {
+func layoutOf(engines []*platformstate.Server) layout {
 	l := layout{engines: len(engines), byZone: map[string]int{}}
 	for i := range engines {
 		l.byZone[engines[i].Zone]++
@@ -63,11 +63,11 @@
 // group is the set of engines that one instance plans for.
 type group struct {
 	key, zone string
-	engines   []platformstate.Server
+	engines   []*platformstate.Server
 }
 
 // groupsOf divides the engines of a service into groups.
-func groupsOf(engines []platformstate.Server, service string, l layout) []group {
+func groupsOf(engines []*platformstate.Server, service string, l layout) []group {
 	if l.engines <= groupSize {
 		return []group{{key: service, engines: engines}}
 	}
@@ -90,7 +90,7 @@
 
 // serviceGroups caches the groups of one list of engines. The list is immutable.
 type serviceGroups struct {
-	firstEngine *platformstate.Server
+	firstEngine **platformstate.Server
 	engineCount int
 	layout      layout
 	groups      []group
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -39,7 +39,7 @@
 		excluded[id] = true
 	}
 	now := p.opts.Now()
-	var engines []platformstate.Server
+	var engines []*platformstate.Server
 	groups, _ := p.groups(r.Service)
 	for _, g := range groups {
 		if g.key == r.Group {
@@ -95,11 +95,10 @@
 
 // targetFinder finds engines with free capacity for the copies from an engine that shuts down.
 type targetFinder struct {
-	p          *Planner
-	now        time.Time
-	service    *routes.Service
-	request    TransferRequest
-	candidates map[string]platformstate.Server
+	p       *Planner
+	now     time.Time
+	service *routes.Service
+	request TransferRequest
 }
 
 // Candidates returns the engines with free capacity, best first: those of the group, whose loads
@@ -110,16 +109,14 @@
 	if len(free) == 0 {
 		free = r.freeEngines(c, all)
 	}
-	r.candidates = map[string]platformstate.Server{}
 	targets := make([]Target, 0, len(free))
 	for _, server := range free {
-		r.candidates[server.ID] = server
 		targets = append(targets, Target{ID: server.ID, Duration: migration.TransferTime(*r.service.Engine, c.Tokens, server.Zone != r.request.Zone)})
 	}
 	return targets
 }
 
-func (r *targetFinder) freeEngines(c Copy, engines []platformstate.Server) []platformstate.Server {
+func (r *targetFinder) freeEngines(c Copy, engines []*platformstate.Server) []*platformstate.Server {
 	return r.p.loadBalancer.FreeServers(r.now, balancer.Request{
 		Service: r.service, Zone: r.request.Zone, Tokens: r.requiredTokens(c), Excluded: map[string]bool{r.request.Engine: true},
 		Instances: r.p.opts.Table.Count(r.now),
--- a/internal/planner/reports.go
+++ b/internal/planner/reports.go
@@ -129,7 +129,7 @@
 type ReportResponse struct{}
 
 // groupEngines returns the engines in the group of an engine.
-func (p *Planner) groupEngines(service, zone, id string) []platformstate.Server {
+func (p *Planner) groupEngines(service, zone, id string) []*platformstate.Server {
 	groups, l := p.groups(service)
 	key := groupKey(l, service, zone, id)
 	for _, g := range groups {
--- a/internal/platformstate/eligible.go
+++ b/internal/platformstate/eligible.go
@@ -15,9 +15,6 @@
 	hash := s.hashes[Servers] + e.hash()
 	if known, ok := s.servers[e.ID]; ok {
 		hash -= known.hash()
-		if known.StartedAtMillis == e.StartedAtMillis && known.Version == e.Version {
-			e.retired, e.ListedSince = known.retired, known.ListedSince
-		}
 		s.touchServer(known.Service, e.ID)
 	}
 	s.servers[e.ID] = e
@@ -54,7 +51,7 @@
 	if !e.missingSince.IsZero() {
 		return 0
 	}
-	return xxhash.Sum64String(e.ID + "\n" + e.Address + "\n" + e.Zone + "\n" + strconv.FormatBool(e.listed.Leaving) + "\n" + e.Version)
+	return xxhash.Sum64String(e.ID + "\n" + e.Address + "\n" + e.Zone + "\n" + strconv.FormatBool(e.listedLeaving) + "\n" + e.Version)
 }
 
 // publish rebuilds the lists of servers that may get requests, but only those of services
@@ -76,8 +73,8 @@
 
 // rebuild returns a service's list, or that of its canaries, with the entries of the given
 // IDs updated.
-func (s *State) rebuild(service string, list []Server, ids map[string]bool, canaries bool) []Server {
-	var updated []Server
+func (s *State) rebuild(service string, list []*Server, ids map[string]bool, canaries bool) []*Server {
+	var updated []*Server
 	for id := range ids {
 		e, ok := s.servers[id]
 		if !ok || e.Service != service || e.Leaving || s.zones[e.Zone] {
@@ -89,7 +86,7 @@
 		}
 	}
 	slices.SortFunc(updated, byID)
-	out := make([]Server, 0, len(list)+len(updated))
+	out := make([]*Server, 0, len(list)+len(updated))
 	for i := range list {
 		if ids[list[i].ID] {
 			continue
@@ -102,4 +99,4 @@
 	return append(out, updated...)
 }
 
-func byID(a, b Server) int { return strings.Compare(a.ID, b.ID) }
+func byID(a, b *Server) int { return strings.Compare(a.ID, b.ID) }
--- a/internal/platformstate/rollouts_test.go
+++ b/internal/platformstate/rollouts_test.go
@@ -14,7 +14,7 @@
 	return dialect.Server{ID: id, Service: "desk", Address: id + ":1", Zone: "a", Version: version}
 }
 
-func idsOf(servers []Server) []string {
+func idsOf(servers []*Server) []string {
 	out := []string{}
 	for i := range servers {
 		out = append(out, servers[i].ID)
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
@@ -18,9 +19,10 @@
 	Server *dialect.Server `json:"server,omitempty"`
 }
 
+// loggedChange says that a server changed with a version; what it is now is in the state.
 type loggedChange struct {
 	version int64
-	change  Change
+	id      string
 }
 
 // missingRange is a range of versions within which not all changes are logged: an entry
@@ -120,19 +122,21 @@
 		s.remove(now, known)
 	} else {
 		leaving := c.Server.Leaving || s.hasDeparted(c.Server)
-		same := ok && known.missingSince.IsZero() && known.listed == *c.Server
+		same := ok && known.missingSince.IsZero() && known.listed() == *c.Server
 		if same && known.Leaving == leaving && c.Server.ColdRemaining == 0 {
 			return
 		}
-		e := entry{Server: Server{Server: *c.Server, ColdUntil: now.Add(c.Server.ColdRemaining), ListedSince: now}, listed: *c.Server}
-		e.Leaving = leaving
+		e := s.newEntry(now, c.Server, leaving)
+		if ok && known.StartedAtMillis == e.StartedAtMillis && known.Version == e.Version {
+			e.retired, e.ListedSince = known.retired, known.ListedSince
+		}
 		s.recordVersion(now, &e)
 		s.put(e)
 		if same {
 			return
 		}
 	}
-	s.log = append(s.log, loggedChange{version, c})
+	s.log = append(s.log, loggedChange{version, c.ID})
 	if len(s.log) > maxLog {
 		drop := len(s.log) - maxLog/2
 		s.logFrom = s.log[drop-1].version
@@ -140,6 +144,46 @@
 	}
 }
 
+// newEntry returns the entry of a listed server. It keeps no memory of the message that listed it.
+func (s *State) newEntry(now time.Time, listed *dialect.Server, leaving bool) entry {
+	server := &Server{Server: *listed, ColdUntil: now.Add(listed.ColdRemaining), ListedSince: now}
+	server.ID, server.Address = strings.Clone(listed.ID), strings.Clone(listed.Address)
+	server.Service, server.Zone, server.Version = s.name(listed.Service), s.name(listed.Zone), s.name(listed.Version)
+	server.Leaving = leaving
+	return entry{Server: server, listedLeaving: listed.Leaving}
+}
+
+// maxNames limits the names that are kept: those of software versions come and go.
+const maxNames = 1024
+
+// name returns the shared copy of a name.
+func (s *State) name(name string) string {
+	if shared, ok := s.names[name]; ok {
+		return shared
+	}
+	if len(s.names) >= maxNames {
+		clear(s.names)
+	}
+	name = strings.Clone(name)
+	s.names[name] = name
+	return name
+}
+
+// listed returns the platform's entry.
+func (e *entry) listed() dialect.Server {
+	server := e.Server.Server
+	server.Leaving = e.listedLeaving
+	return server
+}
+
+// outgoing returns the platform's entry for other instances, with the remaining time for which the
+// server is cold.
+func (e *entry) outgoing(now time.Time) dialect.Server {
+	server := e.listed()
+	server.ColdRemaining = max(0, e.ColdUntil.Sub(now))
+	return server
+}
+
 // remove removes an entry, or marks it missing while it may reappear.
 func (s *State) remove(now time.Time, known entry) {
 	if now.Before(s.graceUntil) && !known.Leaving {
@@ -168,25 +212,24 @@
 	last := map[string]int{}
 	for i, l := range s.log {
 		if l.version > version {
-			last[l.change.ID] = i
+			last[l.id] = i
 		}
 	}
 	changes = make([]Change, 0, len(last))
 	for _, i := range slices.Sorted(maps.Values(last)) {
-		changes = append(changes, s.outgoing(now, s.log[i].change))
+		changes = append(changes, s.outgoing(now, s.log[i].id))
 	}
 	return changes, minFrom, true
 }
 
-// outgoing returns a change for other instances, with the remaining time for which the
-// server is cold.
-func (s *State) outgoing(now time.Time, c Change) Change {
-	if c.Server == nil {
-		return c
+// outgoing returns the change of a server for other instances.
+func (s *State) outgoing(now time.Time, id string) Change {
+	e, ok := s.servers[id]
+	if !ok || !e.missingSince.IsZero() {
+		return Change{ID: id}
 	}
-	server := *c.Server
-	server.ColdRemaining = max(0, s.servers[c.ID].ColdUntil.Sub(now))
-	return Change{ID: c.ID, Server: &server}
+	server := e.outgoing(now)
+	return Change{ID: id, Server: &server}
 }
 
 // snapshot returns all servers that aren't missing, for other instances.
@@ -194,9 +237,7 @@
 	out := make([]dialect.Server, 0, len(s.servers))
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		if known := s.servers[id]; known.missingSince.IsZero() {
-			server := known.listed
-			server.ColdRemaining = max(0, known.ColdUntil.Sub(now))
-			out = append(out, server)
+			out = append(out, known.outgoing(now))
 		}
 	}
 	return out
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -16,6 +16,7 @@
 	"bytes"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,8 @@
 // entries of servers may have expired.
 const entryExpiry = 3 * time.Second
 
-// Server is a backend server with the time until which it is cold.
+// Server is a backend server with the time until which it is cold. Published servers are shared and
+// must not be changed.
 type Server struct {
 	dialect.Server
 	ColdUntil time.Time
@@ -61,10 +63,10 @@
 
 // entry is the state of one server.
 type entry struct {
-	Server
-	// listed is the platform's entry. The server itself may have given a shutdown notice
-	// before it.
-	listed dialect.Server
+	*Server
+	// listedLeaving is whether the platform lists the server as leaving. The server itself may
+	// have given a shutdown notice before.
+	listedLeaving bool
 	// missingSince is set while the entry is missing after an outage.
 	missingSince time.Time
 	// retired is set on servers that shut down after a completed rollout.
@@ -76,9 +78,9 @@
 	table atomic.Pointer[routes.Table]
 	// eligible holds the servers that may get requests, by service, in order of their IDs.
 	// Neither the map nor the lists change after publication.
-	eligible atomic.Pointer[map[string][]Server]
+	eligible atomic.Pointer[map[string][]*Server]
 	// canaries holds the servers of new versions whose rollout is at the canary stage.
-	canaries atomic.Pointer[map[string][]Server]
+	canaries atomic.Pointer[map[string][]*Server]
 
 	mu      sync.Mutex
 	servers map[string]entry
@@ -101,6 +103,8 @@
 	// contact is when the platform last answered any known instance, failedAt when it last
 	// failed to answer this one.
 	contact, failedAt time.Time
+	// names holds one copy of each name of a service, zone or software version.
+	names map[string]string
 	// log holds the changes of the servers after version logFrom.
 	log           []loggedChange
 	missingRanges []missingRange
@@ -114,12 +118,12 @@
 // NewState returns an empty state.
 func NewState() *State {
 	s := &State{
-		servers: map[string]entry{}, departed: map[string]int64{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, releases: newReleases(), changed: make(chan struct{}, 1),
+		servers: map[string]entry{}, departed: map[string]int64{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, names: map[string]string{}, releases: newReleases(), changed: make(chan struct{}, 1),
 	}
 	s.hashes[Zones] = zonesHash(s.zones)
 	s.hashes[Rollouts] = rolloutsHash(nil)
-	s.eligible.Store(&map[string][]Server{})
-	s.canaries.Store(&map[string][]Server{})
+	s.eligible.Store(&map[string][]*Server{})
+	s.canaries.Store(&map[string][]*Server{})
 	return s
 }
 
@@ -145,17 +149,30 @@
 
 // Servers returns the backend servers of a service that may get new requests: those that
 // aren't shutting down, whose zone isn't drained and whose version is in service.
-func (s *State) Servers(service string) []Server { return (*s.eligible.Load())[service] }
+func (s *State) Servers(service string) []*Server { return (*s.eligible.Load())[service] }
+
+// Eligible returns one of the servers that [State.Servers] returns.
+func (s *State) Eligible(service, id string) (*Server, bool) {
+	list := s.Servers(service)
+	at, ok := slices.BinarySearchFunc(list, id, func(server *Server, id string) int { return strings.Compare(server.ID, id) })
+	if !ok {
+		return nil, false
+	}
+	return list[at], true
+}
 
 // Canaries returns the servers of a new version whose rollout is at the canary stage.
-func (s *State) Canaries(service string) []Server { return (*s.canaries.Load())[service] }
+func (s *State) Canaries(service string) []*Server { return (*s.canaries.Load())[service] }
 
 // Server returns a backend server, or false if it isn't listed.
 func (s *State) Server(id string) (Server, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.servers[id]
-	return e.Server, ok
+	if !ok {
+		return Server{}, false
+	}
+	return *e.Server, true
 }
 
 // Version returns the version of a resource and when it was last confirmed.
@@ -271,7 +288,9 @@
 	}
 	s.departed[server.ID] = server.StartedAtMillis
 	if e, ok := s.servers[server.ID]; ok && s.hasDeparted(&e.Server.Server) && !e.Leaving {
-		e.Leaving = true
+		leaving := *e.Server
+		leaving.Leaving = true
+		e.Server = &leaving
 		s.put(e)
 		s.publish()
 	}
@@ -291,7 +310,7 @@
 	defer s.mu.Unlock()
 	var out []string
 	for id := range s.departed {
-		if e, ok := s.servers[id]; ok && !e.listed.Leaving {
+		if e, ok := s.servers[id]; ok && !e.listedLeaving {
 			out = append(out, id)
 		}
 	}
--- a/internal/rolloutpeer/peer.go
+++ b/internal/rolloutpeer/peer.go
@@ -250,7 +250,7 @@
 
 // Canary returns the servers of the new version for a request of the canary, or false if
 // the request isn't one. draw is a random number from 0 to 1.
-func (p *Peer) Canary(now time.Time, service string, draw float64) ([]platformstate.Server, bool) {
+func (p *Peer) Canary(now time.Time, service string, draw float64) ([]*platformstate.Server, bool) {
 	p.mu.Lock()
 	lr := p.rolloutOf(service)
 	p.mu.Unlock()
@@ -258,7 +258,7 @@
 		return nil, false
 	}
 	all := p.opts.State.Canaries(service)
-	servers := make([]platformstate.Server, 0, len(all))
+	servers := make([]*platformstate.Server, 0, len(all))
 	for _, i := range rollout.CanaryServers(p.opts.Limits.Share, lr.Window(now), len(all)) {
 		servers = append(servers, all[i])
 	}
