Read and hand over lists of servers one part at a time

The heap grew to several times the state and stayed there.

Change: the platform's pages are decoded as they come.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -216,7 +217,7 @@
 	require.Less(t, age, snapshotTTL)
 
 	seed.serveLimiter.ReserveN(time.Now(), servedPerSecond)
-	_, _, err = newcomer.fetchCompressed(t.Context(), seed.address, snapshotProcedure)
+	_, err = newcomer.fetchSnapshot(t.Context(), seed.address, "seed")
 	require.ErrorIs(t, err, ErrFetch, "one instance serves all")
 }
 
@@ -225,7 +226,7 @@
 	a, b := startInstance(t, "a", secret("k"), false), startInstance(t, "b", secret("x"), false)
 	a.setPlatformState(3, nil, "s1")
 	for _, procedure := range []string{configurationProcedure, snapshotProcedure} {
-		_, _, err := b.fetchCompressed(t.Context(), a.address, procedure)
+		_, err := b.fetchCompressed(t.Context(), a.address, procedure, func(io.Reader) error { return nil })
 		require.ErrorIs(t, err, ErrFetch)
 	}
 }
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	gojson "github.com/goccy/go-json"
 
+	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/instancerpc"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 )
@@ -71,12 +71,7 @@
 	if age := now.Sub(p.at); p.data != nil && age >= 0 && age < snapshotTTL {
 		return p.data, age, nil
 	}
-	u := state.UpdateSince(now, 0)
-	raw, err := json.Marshal(&u)
-	if err != nil {
-		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
-	}
-	data, err := compress(raw)
+	data, err := packSnapshot(now, state)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -84,6 +79,42 @@
 	return p.data, 0, nil
 }
 
+// packSnapshot returns a compressed snapshot: an update without servers, then each server, so that
+// neither side holds more than one of them uncompressed.
+func packSnapshot(now time.Time, state *platformstate.State) ([]byte, error) {
+	u, servers := state.Snapshot(now)
+	var out bytes.Buffer
+	packed := gzip.NewWriter(&out)
+	encoder := json.NewEncoder(packed)
+	err := encoder.Encode(&u)
+	for i := 0; i < len(servers) && err == nil; i++ {
+		err = encoder.Encode(servers[i].Outgoing(now))
+	}
+	if err := errors.Join(err, packed.Close()); err != nil {
+		return nil, merry.Wrap(ErrFetch, merry.WithCause(err))
+	}
+	return out.Bytes(), nil
+}
+
+// unpackSnapshot reads an uncompressed snapshot.
+func unpackSnapshot(raw io.Reader) (*platformstate.Update, error) {
+	decoder := json.NewDecoder(raw)
+	var u platformstate.Update
+	if err := decoder.Decode(&u); err != nil {
+		return nil, merry.Wrap(ErrFetch, merry.WithCause(err))
+	}
+	for {
+		var server dialect.Server
+		switch err := decoder.Decode(&server); {
+		case errors.Is(err, io.EOF):
+			return &u, nil
+		case err != nil:
+			return nil, merry.Wrap(ErrFetch, merry.WithCause(err))
+		}
+		u.Servers = append(u.Servers, server)
+	}
+}
+
 func compress(raw []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
@@ -155,7 +186,11 @@
 	if now, _ := g.opts.State.Version(platformstate.Configuration); now != before {
 		return
 	}
-	raw, _, err := g.fetchCompressed(ctx, address, configurationProcedure)
+	var raw []byte
+	_, err := g.fetchCompressed(ctx, address, configurationProcedure, func(unpacked io.Reader) (err error) {
+		raw, err = io.ReadAll(unpacked)
+		return err
+	})
 	if err != nil {
 		g.opts.Log.Info().Str("peer", address).Err(err).Msg("configuration not fetched from another instance")
 		return
@@ -166,46 +201,47 @@
 // fetchSnapshot fetches and applies another instance's platform state without the
 // configuration.
 func (g *Gossip) fetchSnapshot(ctx context.Context, address, from string) (*platformstate.Update, error) {
-	raw, age, err := g.fetchCompressed(ctx, address, snapshotProcedure)
+	var u *platformstate.Update
+	age, err := g.fetchCompressed(ctx, address, snapshotProcedure, func(raw io.Reader) (err error) {
+		u, err = unpackSnapshot(raw)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	var u platformstate.Update
-	if err := gojson.Unmarshal(raw, &u); err != nil {
-		return nil, merry.Wrap(ErrFetch, merry.WithCause(err))
-	}
-	g.applyUpdate(g.opts.Now().Add(-age), &u, from)
-	return &u, nil
+	g.applyUpdate(g.opts.Now().Add(-age), u, from)
+	u.Servers = nil
+	return u, nil
 }
 
-// fetchCompressed fetches state from another instance, and returns its age.
-func (g *Gossip) fetchCompressed(ctx context.Context, address, procedure string) ([]byte, time.Duration, error) {
+// fetchCompressed fetches state from another instance, lets read read it uncompressed, and returns
+// its age.
+func (g *Gossip) fetchCompressed(ctx context.Context, address, procedure string, read func(raw io.Reader) error) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	sentAt := g.opts.Now()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+procedure, nil)
 	if err != nil {
-		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	g.client.Sign(sentAt, req.Header, procedure)
 	res, err := g.client.HTTP.Do(req)
 	if err != nil {
-		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	defer res.Body.Close()
 	g.seedRefused.Store(res.StatusCode == http.StatusServiceUnavailable)
 	if res.StatusCode != http.StatusOK {
-		return nil, 0, merry.Wrap(ErrFetch, merry.AppendMessagef("status %d", res.StatusCode))
+		return 0, merry.Wrap(ErrFetch, merry.AppendMessagef("status %d", res.StatusCode))
 	}
 	unpacked, err := gzip.NewReader(res.Body)
 	if err != nil {
-		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
-	raw, err := io.ReadAll(io.LimitReader(unpacked, instancerpc.MaxBytes))
-	if err != nil {
-		return nil, 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+	if err := read(io.LimitReader(unpacked, instancerpc.MaxBytes)); err != nil {
+		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	millis, _ := strconv.ParseInt(res.Header.Get(ageHeader), 10, 64)
 	// The transfer time is part of the age.
-	return raw, time.Duration(millis)*time.Millisecond + g.opts.Now().Sub(sentAt), nil
+	return time.Duration(millis)*time.Millisecond + g.opts.Now().Sub(sentAt), nil
 }
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -193,17 +193,27 @@
 // List reads all objects of a kind. It reads page by page, so the list isn't a consistent snapshot;
 // version is that of the first page.
 func (c *Client) List(ctx context.Context, kind string) (version int64, objects []Object, err error) {
+	version, err = c.ListPages(ctx, kind, func(page []Object) { objects = append(objects, page...) })
+	if err != nil {
+		return 0, nil, err
+	}
+	return version, objects, nil
+}
+
+// ListPages is [Client.List] for kinds with many objects: it calls each with the objects of one page
+// after the other, also if a later page fails.
+func (c *Client) ListPages(ctx context.Context, kind string, each func(page []Object)) (version int64, err error) {
 	for cursor := ""; ; {
 		p, err := c.ListPage(ctx, kind, cursor, pageLimit)
 		if err != nil {
-			return 0, nil, err
+			return 0, err
 		}
 		if cursor == "" {
 			version = p.Version
 		}
-		objects = append(objects, p.Objects...)
+		each(p.Objects)
 		if p.Cursor == "" {
-			return version, objects, nil
+			return version, nil
 		}
 		cursor = p.Cursor
 	}
--- a/internal/platformstate/apply.go
+++ b/internal/platformstate/apply.go
@@ -1,13 +1,29 @@
 package platformstate
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 )
 
-func (f *Follower) listConfiguration(now time.Time, _ int64, objects []objectapi.Object) {
+// resourceList is a list of a resource as of a version; replace applies it.
+type resourceList struct {
+	version int64
+	replace func(now time.Time)
+}
+
+// listAll returns a function that lists all objects of a kind.
+func (f *Follower) listAll(kind string, replace func(now time.Time, version int64, objects []objectapi.Object)) func(context.Context) (resourceList, error) {
+	return func(ctx context.Context) (resourceList, error) {
+		version, objects, err := f.opts.Objects.List(ctx, kind)
+		return resourceList{version, func(now time.Time) { replace(now, version, objects) }}, err
+	}
+}
+
+func (f *Follower) replaceConfiguration(now time.Time, _ int64, objects []objectapi.Object) {
 	for _, o := range objects {
 		f.applyConfigurationObject(now, o)
 	}
@@ -43,14 +59,18 @@
 	}
 }
 
-func (f *Follower) listServers(now time.Time, version int64, objects []objectapi.Object) {
-	list := make([]dialect.Server, 0, len(objects))
-	for _, o := range objects {
-		if s, ok := f.server(o); ok {
-			list = append(list, s)
+// listServers lists the servers. It decodes page by page, as there may be thousands.
+func (f *Follower) listServers(ctx context.Context) (resourceList, error) {
+	var list []dialect.Server
+	version, err := f.opts.Objects.ListPages(ctx, f.opts.Dialect.Kinds.Servers, func(page []objectapi.Object) {
+		list = slices.Grow(list, len(page))
+		for _, o := range page {
+			if s, ok := f.server(o); ok {
+				list = append(list, s)
+			}
 		}
-	}
-	f.opts.State.ReplaceServers(now, version, list)
+	})
+	return resourceList{version, func(now time.Time) { f.opts.State.ReplaceServers(now, version, list) }}, err
 }
 
 // applyServers applies changes of servers. An invalid entry replaces the previous one:
@@ -83,7 +103,7 @@
 	return s, true
 }
 
-func (f *Follower) listRollouts(now time.Time, version int64, objects []objectapi.Object) {
+func (f *Follower) replaceRollouts(now time.Time, version int64, objects []objectapi.Object) {
 	list := make([]dialect.Rollout, 0, len(objects))
 	for _, o := range objects {
 		r, err := f.opts.Dialect.DecodeRollout(o)
@@ -103,7 +123,7 @@
 	}
 }
 
-func (f *Follower) listZones(now time.Time, version int64, objects []objectapi.Object) {
+func (f *Follower) replaceZones(now time.Time, version int64, objects []objectapi.Object) {
 	zones := make([]string, 0, len(objects))
 	for _, o := range objects {
 		zones = append(zones, o.Name)
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -122,8 +122,8 @@
 	kind     string
 	// timeout is how long a watch waits, limit the time within which changes must take effect.
 	timeout, limit time.Duration
-	// list applies a list, apply changes.
-	list  func(now time.Time, version int64, objects []objectapi.Object)
+	// list lists the resource; apply applies changes.
+	list  func(ctx context.Context) (resourceList, error)
 	apply func(now time.Time, from, to int64, events []objectapi.Event)
 
 	mu sync.Mutex
@@ -146,10 +146,10 @@
 	limits := f.opts.PropagationLimits
 	var all []*watchedResource
 	for _, w := range []*watchedResource{
-		{resource: Configuration, kind: kinds.Configuration, timeout: watchTimeout, limit: limits.Configuration, list: f.listConfiguration, apply: f.applyConfiguration},
+		{resource: Configuration, kind: kinds.Configuration, timeout: watchTimeout, limit: limits.Configuration, list: f.listAll(kinds.Configuration, f.replaceConfiguration), apply: f.applyConfiguration},
 		{resource: Servers, kind: kinds.Servers, timeout: serversWatchTimeout, limit: limits.Servers, list: f.listServers, apply: f.applyServers},
-		{resource: Zones, kind: kinds.DrainedZones, timeout: watchTimeout, limit: limits.Zones, list: f.listZones},
-		{resource: Rollouts, kind: kinds.Rollouts, timeout: watchTimeout, limit: limits.Rollouts, list: f.listRollouts},
+		{resource: Zones, kind: kinds.DrainedZones, timeout: watchTimeout, limit: limits.Zones, list: f.listAll(kinds.DrainedZones, f.replaceZones)},
+		{resource: Rollouts, kind: kinds.Rollouts, timeout: watchTimeout, limit: limits.Rollouts, list: f.listAll(kinds.Rollouts, f.replaceRollouts)},
 	} {
 		if w.limit == 0 {
 			continue
@@ -208,7 +208,7 @@
 // list lists a resource and applies the list.
 func (f *Follower) list(ctx context.Context, w *watchedResource, adaptive *objectapi.AdaptiveTimeout) (int64, error) {
 	start := f.opts.Now()
-	version, objects, err := f.opts.Objects.List(objectapi.WithTimeout(ctx, adaptive.Timeout()), w.kind)
+	list, err := w.list(objectapi.WithTimeout(ctx, adaptive.Timeout()))
 	if err != nil {
 		adaptive.Fail(f.opts.Now().Sub(start))
 		f.callFailed(start, w, err)
@@ -216,11 +216,11 @@
 	}
 	adaptive.Succeed(f.opts.Now().Sub(start))
 	f.callSucceeded()
-	w.list(start, version, objects)
-	if known, _ := f.opts.State.Version(w.resource); w.resource == Configuration || version >= known {
+	list.replace(start)
+	if known, _ := f.opts.State.Version(w.resource); w.resource == Configuration || list.version >= known {
 		f.opts.State.RecordListing(start, w.resource)
 	}
-	return version, nil
+	return list.version, nil
 }
 
 // watch applies changes while this instance is a watcher, and reports whether the resource
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -176,12 +176,19 @@
 	return server
 }
 
-// outgoing returns the platform's entry for other instances, with the remaining time for which the
+// ListedServer is a server as the platform lists it.
+type ListedServer struct {
+	server  *Server
+	leaving bool
+}
+
+// Outgoing returns the platform's entry for other instances, with the remaining time for which the
 // server is cold.
-func (e *entry) outgoing(now time.Time) dialect.Server {
-	server := e.listed()
-	server.ColdRemaining = max(0, e.ColdUntil.Sub(now))
-	return server
+func (l ListedServer) Outgoing(now time.Time) dialect.Server {
+	out := l.server.Server
+	out.Leaving = l.leaving
+	out.ColdRemaining = max(0, l.server.ColdUntil.Sub(now))
+	return out
 }
 
 // remove removes an entry, or marks it missing while it may reappear.
@@ -228,16 +235,16 @@
 	if !ok || !e.missingSince.IsZero() {
 		return Change{ID: id}
 	}
-	server := e.outgoing(now)
+	server := ListedServer{e.Server, e.listedLeaving}.Outgoing(now)
 	return Change{ID: id, Server: &server}
 }
 
-// snapshot returns all servers that aren't missing, for other instances.
-func (s *State) snapshot(now time.Time) []dialect.Server {
-	out := make([]dialect.Server, 0, len(s.servers))
+// listedServers returns all servers that aren't missing.
+func (s *State) listedServers() []ListedServer {
+	out := make([]ListedServer, 0, len(s.servers))
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		if known := s.servers[id]; known.missingSince.IsZero() {
-			out = append(out, known.outgoing(now))
+			out = append(out, ListedServer{known.Server, known.listedLeaving})
 		}
 	}
 	return out
--- a/internal/platformstate/update.go
+++ b/internal/platformstate/update.go
@@ -105,13 +105,25 @@
 	u := Update{Versions: s.currentVersions(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
 	changes, minFrom, ok := s.changesSince(now, servers)
 	if !ok || servers == 0 {
-		u.Snapshot, u.Servers = true, s.snapshot(now)
+		u.Snapshot = true
+		for _, known := range s.listedServers() {
+			u.Servers = append(u.Servers, known.Outgoing(now))
+		}
 		return u
 	}
 	u.Changes, u.MinFrom = changes, minFrom
 	return u
 }
 
+// Snapshot returns the update for an instance that knows nothing, and apart from it the servers, which
+// may be thousands.
+func (s *State) Snapshot(now time.Time) (Update, []ListedServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := Update{Versions: s.currentVersions(now), Snapshot: true, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
+	return u, s.listedServers()
+}
+
 // WithoutServers returns a snapshot update without its servers: an instance that lacks them finds
 // that changes are missing, and fetches them. Its size doesn't grow with the number of servers.
 func (u Update) WithoutServers() Update {
