Simulate the calls in the load tests of the planner

Cause: the simulated load called its own planner over loopback with the real timeout of 60 ms, so that on a busy machine calls timed out and counted as refused; a handler that was still running read the clock while it was set.

Change: the planner's placement calls go through a field, and the simulation answers them itself after 1 to 5 ms of simulated time.

--- a/internal/planner/handlers.go
+++ b/internal/planner/handlers.go
@@ -22,12 +22,9 @@
 		if err := instancerpc.Verify(p.opts.Key, p.opts.Now(), req.Header(), placeProcedure); err != nil {
 			return nil, err
 		}
-		res, err := p.chooseEngine(*req.Msg)
-		if errors.Is(err, ErrUnavailable) {
-			return nil, connect.NewError(connect.CodeUnavailable, ErrUnavailable)
-		}
+		res, err := p.servePlacement(*req.Msg)
 		if err != nil {
-			return nil, connect.NewError(connect.CodeResourceExhausted, ErrUnavailable)
+			return nil, err
 		}
 		return connect.NewResponse(&res), nil
 	}
@@ -46,6 +43,18 @@
 	}
 }
 
+// servePlacement answers a placement request of another instance. Its errors carry a Connect code.
+func (p *Planner) servePlacement(r PlacementRequest) (PlacementResponse, error) {
+	res, err := p.chooseEngine(r)
+	if errors.Is(err, ErrUnavailable) {
+		return PlacementResponse{}, connect.NewError(connect.CodeUnavailable, ErrUnavailable)
+	}
+	if err != nil {
+		return PlacementResponse{}, connect.NewError(connect.CodeResourceExhausted, ErrUnavailable)
+	}
+	return res, nil
+}
+
 func reply(t TransferResponse, err error) (*connect.Response[TransferResponse], error) {
 	if err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, ErrUnavailable)
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -22,6 +23,9 @@
 	decodeTimePerToken  = 9 * time.Millisecond
 	// maxReportDelay is the maximum delivery time of a load report.
 	maxReportDelay = 60 * time.Millisecond
+	// minCallTime and maxCallTime bound the time of a placement call between instances.
+	minCallTime    = time.Millisecond
+	maxCallTime    = 5 * time.Millisecond
 	simulatedTime  = 30 * time.Second
 	simulationStep = 10 * time.Millisecond
 )
@@ -58,6 +62,7 @@
 	workload
 	t              *testing.T
 	rng            *rand.Rand
+	callRNG        *rand.Rand
 	now            time.Time
 	planner        testInstance
 	localBalancers []*balancer.Balancer
@@ -75,8 +80,9 @@
 }
 
 func simulate(t *testing.T, l workload) result {
-	p := &simulation{workload: l, t: t, rng: rand.New(rand.NewPCG(7, 7)), now: start, prefillFreeAt: map[string]time.Time{}, sequences: make([]int64, l.instances)}
+	p := &simulation{workload: l, t: t, rng: rand.New(rand.NewPCG(7, 7)), callRNG: rand.New(rand.NewPCG(7, 8)), now: start, prefillFreeAt: map[string]time.Time{}, sequences: make([]int64, l.instances)}
 	p.planner = startWithOptions(t, "a", "k", nil, func(o *Options) { o.Now = func() time.Time { return p.now } })
+	p.planner.requestPlacement = p.callPlace
 	for range l.instances {
 		p.scores = append(p.scores, map[string]groupScore{})
 		p.localBalancers = append(p.localBalancers, balancer.New(balancer.ColdLimits{ColdOverage: 1, ColdSlack: 1}, p.rng, nil))
@@ -166,8 +172,19 @@
 	p.reports = later
 }
 
-// placeRequest places one generation and counts its outcome.
+// callPlace answers a placement request after a simulated call time.
+func (p *simulation) callPlace(_ context.Context, _ string, r PlacementRequest) (PlacementResponse, error) {
+	half := (minCallTime + time.Duration(p.callRNG.Int64N(int64(maxCallTime-minCallTime)))) / 2
+	p.now = p.now.Add(half)
+	defer func() { p.now = p.now.Add(half) }()
+	return p.planner.servePlacement(r)
+}
+
+// placeRequest places one generation and counts its outcome. Its calls take simulated time, which
+// doesn't delay other requests.
 func (p *simulation) placeRequest() {
+	arrived := p.now
+	defer func() { p.now = arrived }()
 	p.result.requests++
 	by := p.rng.IntN(p.instances)
 	if p.rng.Float64() < p.skew {
@@ -215,7 +232,7 @@
 	if used > 34000 {
 		p.result.preempted++
 	}
-	if g.firstToken.Sub(p.now) > firstTokenTarget {
+	if g.firstToken.Sub(arrived) > firstTokenTarget {
 		p.result.late++
 	}
 	p.running = append(p.running, g)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -136,6 +136,9 @@
 	loads        *Loads
 	loadBalancer *balancer.Balancer
 	rpc          *instancerpc.Client
+	// requestPlacement sends a placement request to the instance with the given address. Its errors
+	// carry a Connect code.
+	requestPlacement func(ctx context.Context, address string, r PlacementRequest) (PlacementResponse, error)
 
 	mu sync.Mutex
 	// backoff holds the planners that didn't answer, and until when they aren't asked.
@@ -154,6 +157,7 @@
 	}
 	p.loadBalancer = balancer.New(opts.ColdLimits, rand.New(rand.NewPCG(rand.Uint64(), 3)), p.loads.ForEngine)
 	p.loadBalancer.SetExternalFailures(opts.Failures)
+	p.requestPlacement = p.callPlace
 	return p
 }
 
@@ -253,6 +257,15 @@
 	if address == "" {
 		return p.chooseEngine(r)
 	}
+	res, err := p.requestPlacement(ctx, address, r)
+	if err != nil {
+		return PlacementResponse{}, p.recordFailure(address, err)
+	}
+	return res, nil
+}
+
+// callPlace sends a placement request over HTTP.
+func (p *Planner) callPlace(ctx context.Context, address string, r PlacementRequest) (PlacementResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	client := connect.NewClient[PlacementRequest, PlacementResponse](p.rpc.HTTP, "http://"+address+placeProcedure, instancerpc.ClientOptions()...)
@@ -260,7 +273,7 @@
 	p.rpc.Sign(p.opts.Now(), req.Header(), placeProcedure)
 	res, err := client.CallUnary(ctx, req)
 	if err != nil {
-		return PlacementResponse{}, p.recordFailure(address, err)
+		return PlacementResponse{}, err
 	}
 	return *res.Msg, nil
 }
