Keep engines in their groups when others come and go

Cause: a zone's engines were divided into as many groups as groups of 32 are needed. With 1,800 engines in a zone each few that came or went changed that number, and with it the group of nearly all engines: another instance planned for them and knew nothing of their load. And each change of an engine built all groups anew, with a key for each engine; each placement sorted all groups, hashing both at each comparison.

Change: the number of groups is a power of two. Among groups without capacity the requester's zone is preferred too.

--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/platformstate"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
@@ -267,3 +268,59 @@
 	require.Greater(t, requests, 500)
 	require.LessOrEqual(t, refused, requests/100)
 }
+
+// Guards against engines that change groups when others come and go: their planner changes, and
+// knows nothing of them.
+func TestGroupsOutliveChangesOfEngines(t *testing.T) {
+	for _, n := range []int{300, 1900, 3000, 9000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			all := make([]*platformstate.Server, n)
+			for i, e := range engineList(n) {
+				all[i] = &platformstate.Server{Server: e}
+			}
+			keys := func(l layout) map[string]string {
+				out := map[string]string{}
+				for _, e := range all {
+					out[e.ID] = groupKey(l, "llm", e.Zone, e.ID)
+				}
+				return out
+			}
+			before, moved := keys(layoutOf(all)), 0
+			for fewer := n / 100; fewer <= n/10; fewer += n / 100 {
+				after := keys(layoutOf(all[fewer:]))
+				for id, key := range before {
+					if after[id] != key {
+						moved++
+					}
+				}
+				before = after
+			}
+			require.LessOrEqual(t, moved, n, "a tenth of the engines left in ten steps")
+		})
+	}
+}
+
+// BenchmarkGroups measures what a change of one engine and a choice of groups cost.
+func BenchmarkGroups(b *testing.B) {
+	for _, n := range []int{2500, 5000, 10000, 20000} {
+		all := make([]*platformstate.Server, n)
+		for i, e := range engineList(n) {
+			all[i] = &platformstate.Server{Server: e}
+		}
+		l := layoutOf(all)
+		b.Run(fmt.Sprint("regroup/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				groupsOf(all, "llm", layoutOf(all))
+			}
+		})
+		groups := groupsOf(all, "llm", l)
+		p := &Planner{scores: map[string]groupScore{}}
+		b.Run(fmt.Sprint("choose/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.bestGroups(start, groups, "zone-0", "request", maxGroups)
+			}
+		})
+	}
+}
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 )
 
@@ -33,9 +34,15 @@
 	if l.engines <= groupSize {
 		return service
 	}
+	parts := l.parts(zone)
+	return partKey(service, zone, hashBucket(id, parts), parts)
+}
+
+// partKey returns the key of one part of the engines of an availability zone.
+func partKey(service, zone string, part, parts int) string {
 	key := service + "@" + zone
-	if parts := (l.byZone[zone] + groupSize - 1) / groupSize; parts > 1 {
-		key += "#" + strconv.Itoa(hashBucket(id, parts))
+	if parts > 1 {
+		key += "#" + strconv.Itoa(part)
 	}
 	return key
 }
@@ -54,12 +61,18 @@
 	return l
 }
 
-func hashBucket(name string, n int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return int(h.Sum32() % uint32(n))
+// parts returns the number of groups in an availability zone, a power of two: with any other number,
+// one engine more or less would move most engines to other groups.
+func (l layout) parts(zone string) int {
+	n := 1
+	for n*groupSize < l.byZone[zone] {
+		n *= 2
+	}
+	return n
 }
 
+func hashBucket(name string, n int) int { return int(xxhash.Sum64String(name) % uint64(n)) }
+
 // group is the set of engines that one instance plans for.
 type group struct {
 	key, zone string
@@ -71,21 +84,22 @@
 	if l.engines <= groupSize {
 		return []group{{key: service, engines: engines}}
 	}
-	byKey := map[string]*group{}
-	for i := range engines {
-		key := groupKey(l, service, engines[i].Zone, engines[i].ID)
-		g, ok := byKey[key]
-		if !ok {
-			g = &group{key: key, zone: engines[i].Zone}
-			byKey[key] = g
+	type zoneGroups struct{ first, parts int }
+	byZone := make(map[string]zoneGroups, len(l.byZone))
+	var groups []group
+	for _, zone := range slices.Sorted(maps.Keys(l.byZone)) {
+		z := zoneGroups{first: len(groups), parts: l.parts(zone)}
+		byZone[zone] = z
+		for part := range z.parts {
+			groups = append(groups, group{key: partKey(service, zone, part, z.parts), zone: zone, engines: make([]*platformstate.Server, 0, groupSize)})
 		}
-		g.engines = append(g.engines, engines[i])
 	}
-	groups := make([]group, 0, len(byKey))
-	for _, key := range slices.Sorted(maps.Keys(byKey)) {
-		groups = append(groups, *byKey[key])
+	for _, e := range engines {
+		z := byZone[e.Zone]
+		g := &groups[z.first+hashBucket(e.ID, z.parts)]
+		g.engines = append(g.engines, e)
 	}
-	return groups
+	return slices.DeleteFunc(groups, func(g group) bool { return len(g.engines) == 0 })
 }
 
 // serviceGroups caches the groups of one list of engines. The list is immutable.
@@ -125,28 +139,50 @@
 	at    time.Time
 }
 
-// sortedGroups returns the groups in the order in which they are asked: by the scores of their last
+// bestGroups returns up to n groups in the order in which they are asked: by the scores of their last
 // placements or, without a recent one, by a default score that prefers the requester's zone.
-func (p *Planner) sortedGroups(now time.Time, groups []group, zone, request string) []group {
+func (p *Planner) bestGroups(now time.Time, groups []group, zone, request string, n int) []group {
 	if len(groups) == 1 {
 		return groups
 	}
+	type candidate struct {
+		group *group
+		cost  float64
+		tie   uint64
+	}
+	best := make([]candidate, 0, n+1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cost := func(g group) float64 {
-		if s, ok := p.scores[g.key]; ok && now.Sub(s.at) < scoreTTL {
+	for i := range groups {
+		g := &groups[i]
+		c := candidate{g, p.groupCost(now, g, zone), xxhash.Sum64String(g.key) ^ xxhash.Sum64String(request)}
+		at, _ := slices.BinarySearchFunc(best, c, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.tie, b.tie))
+		})
+		best = slices.Insert(best, at, c)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]group, len(best))
+	for i, c := range best {
+		out[i] = *c.group
+	}
+	return out
+}
+
+// groupCost returns the expected score of a placement in a group.
+func (p *Planner) groupCost(now time.Time, g *group, zone string) float64 {
+	cost := float64(defaultScore)
+	if s, ok := p.scores[g.key]; ok && now.Sub(s.at) < scoreTTL {
+		if s.value < fullScore {
 			return s.value
 		}
-		if g.zone != zone {
-			return defaultScore + crossZoneCost
-		}
-		return defaultScore
+		// Among groups without capacity the requester's zone is preferred too.
+		cost = s.value
 	}
-	out := slices.Clone(groups)
-	slices.SortFunc(out, func(a, b group) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(hashBucket(a.key+request, 1<<20), hashBucket(b.key+request, 1<<20)))
-	})
-	return out
+	if g.zone != zone {
+		cost += crossZoneCost
+	}
+	return cost
 }
 
 func (p *Planner) recordScore(key string, now time.Time, value float64) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -198,8 +198,7 @@
 func (p *Planner) Place(ctx context.Context, r PlacementRequest) (string, error) {
 	r.Instance = p.opts.Self
 	all, _ := p.groups(r.Service)
-	groups := p.sortedGroups(p.opts.Now(), all, r.Zone, r.RequestID)
-	groups = groups[:min(len(groups), maxGroups)]
+	groups := p.bestGroups(p.opts.Now(), all, r.Zone, r.RequestID, maxGroups)
 	if len(groups) > 1 {
 		r.MaxScore = busyScore
 	}
