Let few instances send to a cold server

Cause: each instance had its part of the rate that a cold server takes, but one request at least: 350 instances could send 350 at one moment where 20 were allowed. Growth: with the instances, without bound.

Change: only as many instances send to a cold server as half of its rate has requests, the first ones in the order that the limits named by servers use already: by hash of all known instances, reachable or not. An instance that has just started and doesn't know the others sends nothing to cold servers.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -139,6 +139,8 @@
 	shouldAvoid func(now time.Time, id string, repeatable bool) bool
 	// limits, if set, holds the limits that servers have named.
 	limits *pushback.Limits
+	// share, if set, returns the place of this instance among those that share a server's limits.
+	share func(now time.Time, server string) pushback.Share
 	// pauses, if set, holds until when servers want no request from this instance.
 	pauses *pushback.Pauses
 	// changed signals a change of the own load. Its buffer holds one signal: a slow reader reads
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -10,6 +10,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
 
@@ -219,11 +220,14 @@
 	const overage, slack = 1.5, 5
 	svc := &routes.Service{Name: "desk", ColdRequestsPerSecond: 10}
 	cold := []*platformstate.Server{{Server: dialect.Server{ID: "a", Service: "desk", Slots: 1000}, ColdUntil: start.Add(time.Minute)}}
-	for _, instances := range []int{7, 350} {
+	for _, instances := range []int{7, 350, 985, 2000} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			sent := 0
 			for i := range instances {
 				b := New(ColdLimits{ColdOverage: overage, ColdSlack: slack}, rand.New(rand.NewPCG(1, uint64(i))), nil)
+				b.SetShare(func(time.Time, string) pushback.Share {
+					return pushback.Share{Rank: i, Instances: instances, Known: true}
+				})
 				for range 3 {
 					if _, ok := b.Pick(start, Request{Service: svc, Instances: instances}, cold).(Picked); ok {
 						sent++
@@ -231,6 +235,7 @@
 				}
 			}
 			require.LessOrEqual(t, float64(sent), svc.ColdRequestsPerSecond*overage+slack)
+			require.Positive(t, sent)
 		})
 	}
 }
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -46,6 +46,7 @@
 	lb := balancer.New(coldLimits, rand.New(rand.NewPCG(rand.Uint64(), 1)), nil)
 	in.limits = pushback.NewLimits(pushback.Options{Share: in.share, Listed: in.isListed})
 	lb.SetLimits(in.limits)
+	lb.SetShare(in.share)
 	in.pauses = pushback.NewPauses()
 	lb.SetPauses(in.pauses)
 	key, err := peer.NewKey(cfg.PeerKey)
@@ -53,7 +54,7 @@
 		return err
 	}
 	in.planner = planner.New(planner.Options{
-		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, ColdLimits: coldLimits, OwnLoads: lb.Loads, LoadChanged: lb.Changed(), Failures: lb.Failures,
+		Self: cfg.Instance, Table: in.table, Key: key, State: in.state, ColdLimits: coldLimits, Share: in.share, OwnLoads: lb.Loads, LoadChanged: lb.Changed(), Failures: lb.Failures,
 		Log: telemetry.ComponentLogger(in.tel.Log, "planner"), Now: time.Now,
 	})
 	in.buildRollouts(key, objects, lb)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -29,6 +29,7 @@
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/pushback"
 )
 
 const (
@@ -118,6 +119,9 @@
 	State *platformstate.State
 	// ColdLimits limits the request rate of cold servers.
 	ColdLimits balancer.ColdLimits
+	// Share returns the place of this instance among those that share the limits of a server; nil
+	// means that all share them evenly.
+	Share func(now time.Time, server string) pushback.Share
 	// OwnLoads returns this instance's load on each server.
 	OwnLoads func() map[string]balancer.Load
 	// LoadChanged signals a change of this instance's load.
@@ -157,6 +161,7 @@
 	}
 	p.loadBalancer = balancer.New(opts.ColdLimits, rand.New(rand.NewPCG(rand.Uint64(), 3)), p.loads.ForEngine)
 	p.loadBalancer.SetExternalFailures(opts.Failures)
+	p.loadBalancer.SetShare(opts.Share)
 	p.requestPlacement = p.callPlace
 	return p
 }
