Find owners and children without copies of all records

Cause: the owner of a key and the children in a broadcast are found anew after each change of an instance's record, from all records; each hash allocated its text, all owners were sorted for the first three, and whole zones were copied.

Change: hashes without texts, the first three by insertion, references.

Measured beside other load, 250, 500, 1,000, 2,000 instances, before and after: owners 63, 149, 246, 628 us and 10 to 102 KB; now 27, 64, 108, 188 us and 0.8 KB. Children 27, 54, 125, 226 us and 7.5 to 60 KB; now 18, 48, 102, 159 us and 2.7 to 19 KB (BenchmarkChange). Both still grow with the instances.

--- a/internal/membership/select.go
+++ b/internal/membership/select.go
@@ -188,25 +188,36 @@
 		record *Record
 		weight uint64
 	}
-	var owners []owner
+	best := make([]owner, 0, maxOwners+1)
 	add := func(r *Record) {
-		if r.Ready && !r.Down {
-			owners = append(owners, owner{r, weight(key, r.ID)})
+		if !r.Ready || r.Down {
+			return
 		}
+		o := owner{r, weight(key, r.ID)}
+		at, _ := slices.BinarySearchFunc(best, o, func(a, b owner) int { return cmp.Compare(b.weight, a.weight) })
+		best = slices.Insert(best, at, o)
+		best = best[:min(maxOwners, len(best))]
 	}
 	add(&t.self.Record)
 	for _, e := range t.others {
 		add(&e.Record)
 	}
-	slices.SortFunc(owners, func(a, b owner) int { return cmp.Compare(b.weight, a.weight) })
-	out := make([]Record, 0, maxOwners)
-	for _, o := range owners[:min(maxOwners, len(owners))] {
-		out = append(out, *o.record)
+	out := make([]Record, len(best))
+	for i, o := range best {
+		out[i] = *o.record
 	}
 	return out
 }
 
-func weight(key, id string) uint64 { return xxhash.Sum64String(key + "\n" + id) }
+// weight returns the weight of an instance for a key, the hash of both.
+func weight(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\n")
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
 
 // ShareRank returns the rank of this instance for a key among all known ones. As with [Table.Count],
 // instances marked as down count, since they may be partitioned and still running.
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -218,3 +218,28 @@
 	table.RecordCount(start.Add(reportedCountTTL), 3)
 	require.Equal(t, 3, table.Count(start.Add(reportedCountTTL)))
 }
+
+// BenchmarkChange measures what an instance computes anew after the record of another has changed: its
+// children in a broadcast and the owners of a key.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{250, 500, 1000, 2000} {
+		t := NewTable(Record{ID: "i0000", Zone: "zone-0", StartedAt: 1, Status: Status{Ready: true}})
+		for i := 1; i < n; i++ {
+			t.Merge(time.Time{}, []Record{{ID: fmt.Sprintf("i%04d", i), Zone: fmt.Sprint("zone-", i%5), StartedAt: 1, Status: Status{Ready: true}}})
+		}
+		b.Run(fmt.Sprint("children/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				t.invalidate()
+				t.Children("i0005")
+			}
+		})
+		b.Run(fmt.Sprint("owners/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				t.invalidate()
+				t.Owners("key", 2)
+			}
+		})
+	}
+}
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -36,9 +36,11 @@
 	}
 	own := t.zoneOrder(origin, r.Zone)
 	var children []Record
-	if at := slices.IndexFunc(own, func(m Record) bool { return m.ID == id }); at >= 0 {
+	if at := slices.IndexFunc(own, func(m member) bool { return m.record.ID == id }); at >= 0 {
 		first := at*fanout + 1
-		children = slices.Clone(own[min(first, len(own)):min(first+fanout, len(own))])
+		for _, m := range own[min(first, len(own)):min(first+fanout, len(own))] {
+			children = append(children, *m.record)
+		}
 	}
 	if id != origin {
 		return children
@@ -48,7 +50,7 @@
 			continue
 		}
 		if order := t.zoneOrder(origin, zone); len(order) > 0 {
-			children = append(children, order[0])
+			children = append(children, *order[0].record)
 		}
 	}
 	return children
@@ -65,13 +67,15 @@
 	return &e.Record, true
 }
 
+// member is an instance with its weight in the order of a tree.
+type member struct {
+	record *Record
+	weight uint64
+}
+
 // zoneOrder returns the running instances of a zone in an order that depends on the origin
 // and starts with it.
-func (t *Table) zoneOrder(origin, zone string) []Record {
-	type member struct {
-		record *Record
-		weight uint64
-	}
+func (t *Table) zoneOrder(origin, zone string) []member {
 	var members []member
 	add := func(r *Record) {
 		if r.Zone != zone || r.Down && r.ID != origin {
@@ -88,11 +92,7 @@
 		add(&e.Record)
 	}
 	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(a.weight, b.weight) })
-	out := make([]Record, len(members))
-	for i, m := range members {
-		out[i] = *m.record
-	}
-	return out
+	return members
 }
 
 func (t *Table) zones() []string {
