Avoid servers that state that work is slow on their machine

Cause: the load that servers state in their responses was read by no code, and an instance that doesn't know the others' requests on a plain server sends to a slow one until its own pile up there.

Change: the figures are decoded once, in platform/; what is malformed, negative or huge is ignored, counted and logged once in 10 s. The slowness is averaged over half a second and forgotten in some seconds; it multiplies the load in the score. The numbers of running and waiting requests aren't used.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -35,6 +35,7 @@
 	lastUsed        time.Time
 	// prefillUntil is the expected end of the prefill of all prompts sent so far.
 	prefillUntil time.Time
+	slowness     averageSlowness
 }
 
 // Changed returns a channel that signals changes of this instance's load on the servers.
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -16,11 +16,16 @@
 		return spreadScore(r, s, load+b.recentFailures(now, s.ID)*failureCost+b.avoidPenalty(now, r, s.ID))
 	}
 	score := b.rng.Float64()*scoreNoise + b.recentFailures(now, s.ID)*failureCost + b.avoidPenalty(now, r, s.ID)
+	slowness := 1.0
+	if own, ok := b.own[s.ID]; ok {
+		slowness = own.slowness.now(now)
+	}
 	if r.Service.Engine != nil {
 		score += b.prefillSeconds(now, s.ID) + load*memoryCost + max(0, load-highMemoryShare)*highMemoryCost
 	} else {
-		score += load
+		score += load * slowness
 	}
+	score += (slowness - 1) * slowServerCost
 	if s.Zone != r.Zone {
 		score += crossZoneCost
 	}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -50,6 +50,8 @@
 	RateLimit string
 	// Leaving is set in all responses of a backend server that is leaving.
 	Leaving string
+	// ServerLoad is what a backend server says of its load.
+	ServerLoad string
 	// Internal lists the fields that callers may not set.
 	Internal []string
 }
@@ -107,6 +109,13 @@
 	Stage         rollout.Stage `json:"Stage"`
 }
 
+// ServerLoad is what a backend server says of its load in a response.
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes on the server's machine, 1 as usual; 0 if not stated.
+	Slowness float64
+}
+
 // LoadReport is what a model engine reports of itself.
 type LoadReport struct {
 	Leaving bool
@@ -155,6 +164,8 @@
 	DecodeRollout       func(o objectapi.Object) (Rollout, error)
 	EncodeRolloutStatus func(targetVersion string, stage rollout.Stage) []byte
 	DecodeReport        func(body []byte) (LoadReport, error)
+	// DecodeServerLoad decodes the value of [Fields.ServerLoad], or reports that it is invalid.
+	DecodeServerLoad func(value string) (ServerLoad, bool)
 	// EncodeMigration encodes the request for a migration; DecodeMigration decodes its response.
 	EncodeMigration func(m MigrationRequest) []byte
 	DecodeMigration func(body []byte) (MigrationResponse, error)
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -24,6 +24,7 @@
 		s.recordLimit(sentAt, place.Server, response)
 		s.recordPause(place.Server, response)
 		s.recordLeaving(place.Server, response)
+		s.recordServerLoad(place.Server, response)
 	}
 	return response, err
 }
@@ -81,6 +82,26 @@
 	}
 }
 
+// recordServerLoad records what a server says of its load.
+func (s *Server) recordServerLoad(server platformstate.Server, response *upstream.Response) {
+	value := response.Get(s.fields.ServerLoad)
+	if value == "" {
+		return
+	}
+	load, ok := s.opts.Dialect.DecodeServerLoad(value)
+	if !ok {
+		s.opts.Scope.Counter("server_loads_invalid").Inc(1)
+		s.invalidLoads.Warn().Str("server", server.ID).Str("value", value[:min(len(value), maxLoggedValue)]).Msg("backend server states an invalid load")
+		return
+	}
+	if load.Slowness > 0 {
+		s.opts.Balancer.RecordSlowness(s.opts.Now(), server.ID, load.Slowness)
+	}
+}
+
+// maxLoggedValue limits the length of an invalid value in the log.
+const maxLoggedValue = 64
+
 // callerPatience is the share of the remaining time for which callers wait as told.
 const callerPatience = 1.0 / 3
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -63,6 +63,8 @@
 	closeRetryInterval = 20 * time.Millisecond
 	// maxWorkers limits the concurrent background tasks, most of which are migrations.
 	maxWorkers = 64
+	// invalidLoadInterval is the minimum time between two log lines of invalid loads.
+	invalidLoadInterval = 10 * time.Second
 	// directoryTTL is how long callers may cache a directory response. Some cache it three times as
 	// long; in that time an instance that is down costs them a failed connection.
 	directoryTTL = time.Second
@@ -118,7 +120,9 @@
 	streams        *activeStreams
 	workers        *ants.Pool
 	log            zerolog.Logger
-	startedAt      time.Time
+	// invalidLoads logs a few of the invalid values that servers state in every response.
+	invalidLoads zerolog.Logger
+	startedAt    time.Time
 
 	mu     sync.Mutex
 	closed bool
@@ -135,6 +139,7 @@
 	s := &Server{
 		opts: opts, fields: opts.Dialect.Fields, internalFields: map[string]bool{}, upstream: upstream.New(),
 		streams: newActiveStreams(), log: opts.Log, startedAt: opts.Now(),
+		invalidLoads: opts.Log.Sample(&zerolog.BurstSampler{Burst: 1, Period: invalidLoadInterval}),
 	}
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internalFields[strings.ToLower(name)] = true
