Bound what all instances together put on one server

Cause: an instance counted its own requests on a plain server only, up to three times the server's slots. What all together had there grew with the instances: 1,404 requests on a server of 6 slots with 78 instances. A server holds them in memory, and crashes when it runs out.

Change: an instance may have four times its even share of that bound, and one request at least, whether or not it hears from others. The sum is at most four times the bound and one for each instance.

Measured: 1, 7, 78, 985 instances that don't hear each other and a server of 6 slots: 18, 77, 78, 985 requests; 18, 126, 1,404, 17,730 before (worked out). TestRequestsOnOneServerAreBounded fails without it.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -242,7 +242,7 @@
 		}
 		usable++
 		load := b.utilization(now, r, s)
-		if load > requestLimit(r) {
+		if load > requestLimit(r) || b.ownRunning(s.ID) >= ownLimit(r, s) {
 			continue
 		}
 		score := b.score(now, r, s, load)
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -239,3 +239,25 @@
 		})
 	}
 }
+
+// Guards against a plain server that crashes under the requests that wait on it: each instance counts
+// its own only, and a slow server collects those of all.
+func TestRequestsOnOneServerAreBounded(t *testing.T) {
+	const slots = 6
+	for _, instances := range []int{1, 7, 78, 985} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			list, held := servers(1, slots), 0
+			for i := range instances {
+				b := New(ColdLimits{}, rand.New(rand.NewPCG(1, uint64(i))), nil)
+				for {
+					if _, ok := b.Pick(start, Request{Service: plainService, Instances: instances}, list).(Picked); !ok {
+						break
+					}
+					held++
+				}
+			}
+			require.GreaterOrEqual(t, held, slots)
+			require.LessOrEqual(t, held, int(ownLimitSpread*maxQueueFactor*slots)+instances)
+		})
+	}
+}
--- a/internal/balancer/score.go
+++ b/internal/balancer/score.go
@@ -84,6 +84,25 @@
 	return maxQueueFactor
 }
 
+// ownLimitSpread is how many times its even share of a server's requests one instance may have.
+const ownLimitSpread = 4
+
+// ownLimit returns the number of requests that this instance may have on a server. It holds the sum
+// of all instances to ownLimitSpread times what the server takes, and one for each instance, also
+// where they don't know each other's requests: a server crashes if those that wait exceed its memory.
+func ownLimit(r Request, s *platformstate.Server) int {
+	all := serviceLimit(r.Service) * float64(max(1, s.Slots))
+	return max(1, int(math.Ceil(ownLimitSpread*all/float64(max(1, r.Instances)))))
+}
+
+// ownRunning returns the number of requests of this instance on a server.
+func (b *Balancer) ownRunning(id string) int {
+	if own, ok := b.own[id]; ok {
+		return own.running
+	}
+	return 0
+}
+
 // utilization returns how full a server would be with the request; 1 is full.
 func (b *Balancer) utilization(now time.Time, r Request, s *platformstate.Server) float64 {
 	var running, tokens int
