Bound what is held for callers that don't read

Cause: a caller that didn't read blocked the read of its generation, so that its engine cut the response, and the stream counted as stalled and was migrated.

A response that doesn't fit is relayed as it is read. Responses over 4 KiB are written in pieces, each of which may take the write timeout; a caller that doesn't read for that long is cut. What breaks off is visibly incomplete.

--- a/internal/answer/failure.go
+++ b/internal/answer/failure.go
@@ -53,6 +53,7 @@
 	CodeGenerationCancelled Code = "generationCancelled"
 	CodeAnswerTooLarge      Code = "answerTooLarge"
 	CodeSlowCaller          Code = "slowCaller"
+	CodeOverloaded          Code = "overloaded"
 	CodeResumeElsewhere     Code = "resumeElsewhere"
 	CodeKeyMismatch         Code = "idempotencyKeyMismatch"
 	CodeKeyInProgress       Code = "idempotencyKeyInProgress"
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -82,6 +82,8 @@
 	SingleUse bool
 	// Stream leaves the body to be read from [Response.Body].
 	Stream bool
+	// MaxBuffered, if not 0, does so too if the body is longer, in bytes, or of unknown length.
+	MaxBuffered int
 }
 
 // Client does HTTP exchanges. It is safe for concurrent use.
@@ -160,6 +162,9 @@
 		return r.openBody()
 	}
 	r.SkipBody = req.Header.IsHead()
+	if call.MaxBuffered > 0 && !r.SkipBody && !hasNoBody(r.StatusCode()) && !r.isShort(call.MaxBuffered) {
+		return r.openBody()
+	}
 	if !r.SkipBody && r.Header.ContentLength() > c.opts.MaxResponseBytes {
 		return merry.Wrap(ErrTooLarge)
 	}
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -48,6 +48,15 @@
 	return r.Header.ContentLength() == codecIdentity && !r.SkipBody && !hasNoBody(r.StatusCode())
 }
 
+// isShort reports whether the body is known to have at most limit bytes.
+func (r *Response) isShort(limit int) bool {
+	n := r.Header.ContentLength()
+	return n >= 0 && n <= limit
+}
+
+// Streamed reports whether the body is left to be read from [Response.Body].
+func (r *Response) Streamed() bool { return r.stream }
+
 // hasNoBody reports whether responses with a status never have a body (RFC 9110, 6.4.1).
 func hasNoBody(status int) bool {
 	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
--- a/internal/ingress/active_streams.go
+++ b/internal/ingress/active_streams.go
@@ -74,6 +74,8 @@
 	done           bool
 	// kvCopy is the copy of the generation's KV cache, if there is one.
 	kvCopy *resumePoint
+	// writing is set while an event is written to the caller, who may not be reading.
+	writing bool
 	// started is set by the first event, expired by the time limit for it, whichever comes first.
 	started bool
 	expired bool
@@ -105,6 +107,12 @@
 	}
 }
 
+func (a *activeStream) setWriting(writing bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writing = writing
+}
+
 // startRead records the start of a read and the function that interrupts it.
 func (a *activeStream) startRead(now time.Time, abort func()) {
 	a.mu.Lock()
@@ -116,7 +124,7 @@
 func (a *activeStream) stalledFor(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.events == 0 || a.cuttingOver || a.done {
+	if a.events == 0 || a.cuttingOver || a.done || a.writing {
 		return 0
 	}
 	return now.Sub(a.lastEventAt)
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +12,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
@@ -121,16 +125,34 @@
 	if r.route.Kind == routes.Stream {
 		return s.stream(ctx, c, r, place, deadline.Sub(now))
 	}
-	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
-	defer cancel()
 	defer s.opts.Balancer.Release(place)
+	ctx, cancel := context.WithCancel(attemptContext{ctx, deadline})
+	timer := time.AfterFunc(deadline.Sub(now), cancel)
 	response, err := s.forward(ctx, r, place, nil, false)
+	if err == nil && response.Partial && timer.Stop() {
+		// The rest of the body is relayed, until the caller's deadline.
+		timer.Reset(r.callerDeadline.Sub(s.opts.Now()))
+		response.OnClose(func() { timer.Stop(); cancel() })
+		return s.classifyResponse(r, response)
+	}
+	timer.Stop()
+	cancel()
 	if err != nil {
 		return classifyError(err)
 	}
 	return s.classifyResponse(r, response)
 }
 
+// attemptContext is the context of one attempt. It isn't canceled at its deadline: the rest of a long
+// response may take longer.
+type attemptContext struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline implements [context.Context].
+func (a attemptContext) Deadline() (time.Time, bool) { return a.deadline, true }
+
 // upstreamRequest returns the request that is sent to the server, with additional header fields.
 func (s *Server) upstreamRequest(now time.Time, r *request, place balancer.Placement, extra []service.Header) upstream.Request {
 	deadline := r.callerDeadline
@@ -289,15 +311,67 @@
 	return &answer.Failure{Status: http.StatusBadGateway, Code: answer.CodeSlowCaller, Outcome: answer.OutcomeUnknown, Message: "the caller has disconnected"}
 }
 
-// writeResponse forwards a complete response.
+// writeResponse forwards a response. A short one is written by the codec after its memory has been
+// released; a longer one is written here, in pieces.
 func (s *Server) writeResponse(c *app.RequestContext, r *request, response *upstream.Response) error {
 	defer response.Close()
 	s.writeHead(c, response)
+	if response.Partial || len(response.Body) > upstream.ShortBody {
+		return s.relayBody(c, r, response)
+	}
 	c.Response.SetBody(response.Body)
 	s.log.Info().Str("request", r.id).Int("status", response.Status).Dur("took", s.opts.Now().Sub(r.start)).Msg("response sent")
 	return nil
 }
 
+// pieceBytes is the size of the pieces in which a body is written: each may take writeTimeout.
+const pieceBytes = 16 << 10
+
+// relayBody writes a body in pieces. If it breaks off, the connection is closed without the
+// terminating chunk.
+func (s *Server) relayBody(c *app.RequestContext, r *request, response *upstream.Response) error {
+	writer := &abortableWriter{ExtWriter: resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()), conn: c.GetConn()}
+	c.Response.HijackWriter(writer)
+	body := io.Reader(bytes.NewReader(response.Body))
+	if response.Partial {
+		s.opts.Scope.Counter("responses_not_held").Inc(1)
+		body = io.MultiReader(body, response.Stream())
+	}
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := body.Read(piece)
+		if n > 0 {
+			err = errors.Join(writePiece(writer, piece[:n]), ignoreEOF(err))
+		}
+		if errors.Is(err, io.EOF) {
+			s.log.Info().Str("request", r.id).Int("status", response.Status).Dur("took", s.opts.Now().Sub(r.start)).Msg("response sent")
+			return nil
+		}
+		if err != nil {
+			writer.aborted = true
+			c.SetConnectionClose()
+			s.opts.Scope.Counter("responses_cut").Inc(1)
+			s.log.Warn().Str("request", r.id).Int("status", response.Status).Dur("took", s.opts.Now().Sub(r.start)).Err(err).Msg("response cut")
+			return errResponseAborted
+		}
+	}
+}
+
+func writePiece(w network.ExtWriter, piece []byte) error {
+	if _, err := w.Write(piece); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// ignoreEOF returns err, but nil for the end of the input, which the next read returns again.
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // writeHead forwards the status and the header fields of a response.
 func (s *Server) writeHead(c *app.RequestContext, response *upstream.Response) {
 	c.SetStatusCode(response.Status)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,9 +131,9 @@
 }
 
 // startFixture starts a server that knows its configuration and its backend servers.
-func startFixture(t *testing.T, backends map[string]http.Handler) *fixture {
+func startFixture(t *testing.T, backends map[string]http.Handler, options ...func(*Options)) *fixture {
 	t.Helper()
-	f := startUnconfigured(t, backends)
+	f := startUnconfigured(t, backends, options...)
 	f.configure()
 	return f
 }
@@ -144,11 +145,16 @@
 	f.state.Configure(f.clock.now(), configuration(), nil)
 }
 
+// smallBuffers listens with send buffers that a caller who doesn't read fills at once.
+var smallBuffers = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4096) })
+}}
+
 // startUnconfigured starts a server without any platform state.
-func startUnconfigured(t *testing.T, backends map[string]http.Handler) *fixture {
+func startUnconfigured(t *testing.T, backends map[string]http.Handler, options ...func(*Options)) *fixture {
 	t.Helper()
 	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := smallBuffers.Listen(t.Context(), "tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		return l
 	}
@@ -164,17 +170,24 @@
 	lb.SetLimits(limits)
 	pauses := pushback.NewPauses()
 	lb.SetPauses(pauses)
-	server, err := NewServer(Options{
+	opts := Options{
 		Callers: callers, Ready: listen(), Directory: listen(), Zone: "zone-a", State: f.state, Dialect: testDialect(),
 		Balancer: lb, Limits: limits, Pauses: pauses,
 		Retries:   retry.NewBudgets(rng),
 		Instances: func() int { return 1 }, Addresses: func(string) []string { return []string{"a"} },
 		Grace: 8 * time.Second, Log: zerolog.New(logged), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Now: f.clock.now,
-	})
+	}
+	for _, option := range options {
+		option(&opts)
+	}
+	server, err := NewServer(opts)
 	require.NoError(t, err)
 	f.Server, f.url = server, "http://"+callers.Addr().String()
 	for id, handler := range backends {
-		h := httptest.NewServer(handler)
+		h := httptest.NewUnstartedServer(handler)
+		require.NoError(t, h.Listener.Close())
+		h.Listener = listen()
+		h.Start()
 		t.Cleanup(h.Close)
 		service, _, _ := strings.Cut(id, "-")
 		f.servers = append(f.servers, dialect.Server{ID: id, Service: service, Zone: "zone-a", Slots: 6, Address: strings.TrimPrefix(h.URL, "http://")})
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -56,6 +56,8 @@
 	promptTokens, expectedOutput, maxOutput int
 	lastEventID                             int64
 	fingerprint                             uint64
+	// reserved is the number of bytes that the request takes from the memory budget.
+	reserved int
 }
 
 // isGeneration reports whether the request is for model engines.
@@ -99,6 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.reserved = len(body) * bodyCopies; !s.memory.ReserveForNewWork(r.reserved) {
+		return nil, s.memoryFailure()
+	}
 	r.body = body
 	r.fingerprint = xxhash.Sum64(append([]byte(r.workspace+"\n"+r.method+" "+r.uri+"\n"), body...))
 	return r, nil
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -102,6 +102,8 @@
 	// DenyMaxAge is the maximum age of the last confirmation of the configuration with which a
 	// request may be denied; 0 for the default.
 	DenyMaxAge time.Duration
+	// MemoryBytes is the memory that the process may use; 0 for the default.
+	MemoryBytes int64
 	// Grace is the time for requests to complete after [Server.Drain].
 	Grace  time.Duration
 	Log    zerolog.Logger
@@ -117,6 +119,7 @@
 	internalFields map[string]bool
 	hertz          []*server.Hertz
 	upstream       *upstream.Client
+	memory         *memoryBudget
 	streams        *activeStreams
 	workers        *ants.Pool
 	log            zerolog.Logger
@@ -137,10 +140,11 @@
 // NewServer returns a server that is ready to run.
 func NewServer(opts Options) (*Server, error) {
 	s := &Server{
-		opts: opts, fields: opts.Dialect.Fields, internalFields: map[string]bool{}, upstream: upstream.New(),
+		opts: opts, fields: opts.Dialect.Fields, internalFields: map[string]bool{}, memory: newMemoryBudget(opts.MemoryBytes),
 		streams: newActiveStreams(), log: opts.Log, startedAt: opts.Now(),
 		invalidLoads: opts.Log.Sample(&zerolog.BurstSampler{Burst: 1, Period: invalidLoadInterval}),
 	}
+	s.upstream = upstream.New(s.memory)
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internalFields[strings.ToLower(name)] = true
 	}
@@ -299,6 +303,7 @@
 		ctx, span := s.opts.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
 		err = s.serve(ctx, c, r)
 		span.End()
+		s.memory.Release(r.reserved)
 	}
 	if err != nil && !errors.Is(err, errResponseAborted) {
 		s.writeFailure(c, r, err)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -160,9 +160,10 @@
 func (cs *callerStream) relay(ctx context.Context, response *upstream.Response) error {
 	cs.stream.startRead(cs.s.opts.Now(), response.Abort)
 	pace := paceMeter{}
-	events := eventstream.NewSplitter(response.Stream())
+	events := newReadAhead(eventstream.NewSplitter(response.Stream()), cs.s.memory)
+	defer events.close(response.Abort)
 	for {
-		ev, err := events.Next()
+		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if cs.stream.isCuttingOver() && !cs.endedDespiteCutover(ctx) {
 				return eventstream.ErrTruncated
@@ -187,10 +188,12 @@
 		if cs.writer == nil {
 			cs.writeHead(response)
 		}
-		if _, err := cs.writer.Write(ev.Bytes); err != nil {
-			return errCallerGone
-		}
-		if err := cs.writer.Flush(); err != nil {
+		events.beginWrite()
+		cs.stream.setWriting(true)
+		err = writePiece(cs.writer, ev.Bytes)
+		cs.stream.setWriting(false)
+		events.endWrite()
+		if err != nil {
 			return errCallerGone
 		}
 		now := cs.s.opts.Now()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c := upstream.New()
+//	c := upstream.New(memory)
 //	resp, err := c.Do(ctx, "10.0.0.7:8000", upstream.Request{...}, true)
 //	if errors.Is(err, httpclient.ErrNotSent) { ... }
 //	defer resp.Close()
@@ -15,8 +15,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -52,9 +54,22 @@
 type Response struct {
 	Status int
 	Header []service.Header
-	// Body is the complete body of a response that isn't streamed.
+	// Body is the complete body of a response that isn't streamed, or its beginning if it is partial.
 	Body []byte
-	resp *httpclient.Response
+	// Partial means that the rest of the body has to be read from [Response.Stream].
+	Partial bool
+	resp    *httpclient.Response
+	// reserved is the number of bytes of the body that are reserved in memory.
+	reserved int
+	memory   Memory
+	onClose  func()
+}
+
+// Memory bounds the bytes of bodies that are held.
+type Memory interface {
+	// Reserve reports false if there is no memory for n more bytes.
+	Reserve(n int) bool
+	Release(n int)
 }
 
 // Get returns the first value of a header field, or an empty string.
@@ -73,42 +88,85 @@
 // Abort interrupts a read of the stream from another goroutine.
 func (r *Response) Abort() { r.resp.Abort() }
 
+// OnClose makes Close call a function.
+func (r *Response) OnClose(f func()) { r.onClose = f }
+
 // Close closes the response and its connection.
-func (r *Response) Close() { r.resp.Close() }
+func (r *Response) Close() {
+	r.resp.Close()
+	if r.reserved > 0 {
+		r.memory.Release(r.reserved)
+		r.reserved = 0
+	}
+	if r.onClose != nil {
+		r.onClose()
+	}
+}
 
 // Client sends requests to backend servers. It is safe for concurrent use.
-type Client struct{ http *httpclient.Client }
+type Client struct {
+	http   *httpclient.Client
+	memory Memory
+}
 
-// New returns a client.
-func New() *Client {
-	return &Client{http: httpclient.New(httpclient.Options{DialTimeout: dialTimeout, WriteTimeout: writeTimeout})}
+// New returns a client that holds bodies as far as there is memory.
+func New(memory Memory) *Client {
+	return &Client{http: httpclient.New(httpclient.Options{DialTimeout: dialTimeout, WriteTimeout: writeTimeout}), memory: memory}
 }
 
 // Close closes the client.
 func (c *Client) Close() { c.http.Close() }
 
 // Do sends a request. With stream, the body of a successful response is left to be read by the
-// caller; every other response is read completely.
+// caller; every other response is read completely, or as far as there is memory for its body.
 func (c *Client) Do(ctx context.Context, address string, req Request, stream bool) (*Response, error) {
 	r := encode(address, req)
 	defer protocol.ReleaseRequest(r)
-	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: true, Stream: stream})
+	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: true, Stream: stream, MaxBuffered: ShortBody})
 	if err != nil {
 		return nil, err
 	}
-	response := &Response{Status: resp.StatusCode(), Header: responseHeader(resp), resp: resp}
-	if stream && response.Status < http.StatusMultipleChoices {
+	response := &Response{Status: resp.StatusCode(), Header: responseHeader(resp), resp: resp, memory: c.memory}
+	switch {
+	case stream && response.Status < http.StatusMultipleChoices:
+		return response, nil
+	case !resp.Streamed():
+		response.Body = append([]byte(nil), resp.Bytes()...)
 		return response, nil
 	}
-	body, err := resp.ReadAll()
-	if err != nil {
-		resp.Close()
-		return nil, err
+	if err := response.readBody(); err != nil {
+		response.Close()
+		return nil, merry.Wrap(httpclient.ErrUnknownOutcome, merry.WithCause(err))
 	}
-	response.Body = append([]byte(nil), body...)
 	return response, nil
 }
 
+// ShortBody is the size in bytes up to which a body of known length is read without a reservation.
+const ShortBody = 4 << 10
+
+// readBody reads the body as far as there is memory for it.
+func (r *Response) readBody() error {
+	for {
+		if len(r.Body) == cap(r.Body) {
+			more := max(ShortBody, len(r.Body))
+			if !r.memory.Reserve(more) {
+				r.Partial = true
+				return nil
+			}
+			r.reserved += more
+			r.Body = slices.Grow(r.Body, more)
+		}
+		n, err := r.resp.Body().Read(r.Body[len(r.Body):cap(r.Body)])
+		r.Body = r.Body[:len(r.Body)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // Call sends a request of this instance's own, in JSON, and returns the status and the body. A
 // failure status is returned as [ErrStatus].
 func (c *Client) Call(ctx context.Context, address, method, path string, body []byte) (int, []byte, error) {
