Pass the list of servers on as it came when instances start

Cause: an instance that starts asks others what it lacks, and each such call made the answering one list and copy all servers, to say only that they are to be fetched apart. Each instance that served the list serialized and compressed it anew every 0.4 s. Several calls of one instance fetched the list at the same time. Small messages were compressed, for which a compressor of some 800 KB is set up. With n instances before m servers a start cost n times several m, most of it at the three seeds.

Change: the answer says whether changes are known without listing servers. A list that was fetched is served as it came for 3 s. One fetch at a time, and none if the state has changed meanwhile. Messages under 16 KB aren't compressed. A faster decoder reads the list.

--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -94,10 +94,7 @@
 		p.initialized = true
 		p.servers, _ = g.opts.State.Version(platformstate.Servers)
 	}
-	u := g.opts.State.UpdateSince(now, p.servers)
-	if u.Snapshot {
-		u = u.WithoutServers()
-	}
+	u, _ := g.opts.State.UpdateSince(now, p.servers)
 	p.servers = u.Versions[platformstate.Servers].Version
 	return &Message{
 		Origin: g.self, Incarnation: g.opts.Table.Self().StartedAt, Sequence: g.sequence.Add(1),
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -113,6 +113,8 @@
 	serveLimiter *rate.Limiter
 	// configurationMu is held while a configuration is fetched.
 	configurationMu sync.Mutex
+	// snapshotMu is held while a snapshot is fetched.
+	snapshotMu      sync.Mutex
 	fetching        atomic.Bool
 	pendingRecords  recordQueue
 	pendingSuspects suspectQueue
@@ -184,6 +186,7 @@
 	for {
 		now := g.opts.Now()
 		g.updateSelf(now)
+		g.snapshotCache.expire(now)
 		pause := periodFor(g.opts.Table.Count(now))
 		if !g.joined.Load() || !g.opts.State.Known() {
 			g.join(ctx, rng)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -226,7 +228,7 @@
 	a, b := startInstance(t, "a", secret("k"), false), startInstance(t, "b", secret("x"), false)
 	a.setPlatformState(3, nil, "s1")
 	for _, procedure := range []string{configurationProcedure, snapshotProcedure} {
-		_, err := b.fetchCompressed(t.Context(), a.address, procedure, func(io.Reader) error { return nil })
+		_, _, err := b.fetchCompressed(t.Context(), a.address, procedure, func(io.Reader) error { return nil })
 		require.ErrorIs(t, err, ErrFetch)
 	}
 }
@@ -329,3 +331,78 @@
 	version, _ := b.state.Version(platformstate.Servers)
 	require.EqualValues(t, 2, version)
 }
+
+// Guards against a start in which each instance serializes all servers for the others, or for each
+// call that only asks whether there are changes: one that has fetched them passes them on as they came.
+func TestStartPassesSnapshotOn(t *testing.T) {
+	const servers = 10000
+	list := make([]string, servers)
+	for i := range list {
+		list[i] = fmt.Sprintf("server-%05d", i)
+	}
+	a, b, c := startInstance(t, "a", secret("k"), false), startInstance(t, "b", secret("k"), false), startInstance(t, "c", secret("k"), false)
+	a.setPlatformState(1, nil, list...)
+	b.sync(t.Context(), a.address, testTimeout, nil)
+	require.True(t, b.hasPlatformState(1, 0, servers))
+	c.sync(t.Context(), b.address, testTimeout, nil)
+	require.True(t, c.hasPlatformState(1, 0, servers))
+	require.Equal(t, a.snapshotCache.data, c.snapshotCache.data)
+	require.Positive(t, c.state.Age(time.Now(), platformstate.Servers))
+
+	c.snapshotCache.expire(time.Now().Add(fetchedSnapshotTTL))
+	require.Nil(t, c.snapshotCache.data)
+
+	none := platformstate.NewState().Versions(time.Now())
+	allocated := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			a.handleSync(t.Context(), &Message{Versions: &none})
+		}
+	}).AllocedBytesPerOp()
+	require.Less(t, allocated, int64(16<<10), "an answer grows with the servers")
+}
+
+// BenchmarkSnapshot measures what a start costs an instance, by the number of servers.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{2500, 5000, 10000, 20000} {
+		state := platformstate.NewState()
+		list := make([]dialect.Server, n)
+		for i := range list {
+			list[i] = dialect.Server{ID: fmt.Sprintf("i-%08x", uint32(i*2654435761)), Service: "llm", Address: fmt.Sprintf("10.%d.%d.%d:8000", i>>16, i>>8&255, i&255), Zone: "zone-a", Version: "v1", Slots: 24}
+		}
+		state.ReplaceServers(time.Now(), 1, list)
+		packed, err := packSnapshot(time.Now(), state)
+		require.NoError(b, err)
+		b.Run(fmt.Sprint("pack/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = packSnapshot(time.Now(), state)
+			}
+			b.ReportMetric(float64(len(packed)), "bytes")
+		})
+		b.Run(fmt.Sprint("unpack/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				raw, err := gzip.NewReader(bytes.NewReader(packed))
+				require.NoError(b, err)
+				u, err := unpackSnapshot(raw)
+				require.NoError(b, err)
+				require.Len(b, u.Servers, n)
+			}
+		})
+	}
+}
+
+// Guards against a snapshot that is cut short and taken for complete.
+func TestTruncatedSnapshotIsRejected(t *testing.T) {
+	a := startInstance(t, "a", secret("k"), false)
+	a.setPlatformState(1, nil, "s1", "s2", "s3")
+	packed, err := packSnapshot(time.Now(), a.state)
+	require.NoError(t, err)
+	for _, n := range []int{len(packed) / 2, len(packed) - 9, len(packed) - 1} {
+		raw, err := gzip.NewReader(bytes.NewReader(packed[:n]))
+		require.NoError(t, err)
+		_, err = unpackSnapshot(raw)
+		require.ErrorIs(t, err, ErrFetch, "%d of %d bytes", n, len(packed))
+	}
+}
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	gojson "github.com/goccy/go-json"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/instancerpc"
@@ -27,10 +28,10 @@
 	// fetchTimeout limits a fetch, which is some tens of kilobytes when compressed.
 	fetchTimeout = 1500 * time.Millisecond
 	// snapshotTTL is how long a snapshot is served: later changes follow with broadcasts.
-	snapshotTTL = 400 * time.Millisecond
-	// minSnapshotServers is the number of servers from which on they are fetched as a
-	// snapshot.
-	minSnapshotServers = 100
+	// fetchedSnapshotTTL is the same for one that was fetched, which is served as it came: when all
+	// instances start, each passes it on.
+	snapshotTTL        = 400 * time.Millisecond
+	fetchedSnapshotTTL = 3 * time.Second
 	// servedPerSecond limits the bytes served: if hundreds of instances start at once, each
 	// instance that has the state passes it on to a few.
 	servedPerSecond = 512 << 10
@@ -43,8 +44,9 @@
 type compressedCache struct {
 	mu      sync.Mutex
 	version int64
-	at      time.Time
-	data    []byte
+	// at is when the data was current, until when it is served.
+	at, until time.Time
+	data      []byte
 }
 
 // configuration returns the compressed configuration.
@@ -68,17 +70,33 @@
 func (p *compressedCache) snapshot(now time.Time, state *platformstate.State) ([]byte, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if age := now.Sub(p.at); p.data != nil && age >= 0 && age < snapshotTTL {
+	if age := now.Sub(p.at); p.data != nil && age >= 0 && now.Before(p.until) {
 		return p.data, age, nil
 	}
 	data, err := packSnapshot(now, state)
 	if err != nil {
 		return nil, 0, err
 	}
-	p.at, p.data = now, data
+	p.at, p.until, p.data = now, now.Add(snapshotTTL), data
 	return p.data, 0, nil
 }
 
+// setFetched makes the cache serve a snapshot that was fetched.
+func (p *compressedCache) setFetched(now time.Time, age time.Duration, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at, p.until, p.data = now.Add(-age), now.Add(fetchedSnapshotTTL), data
+}
+
+// expire frees a snapshot that isn't served any more.
+func (p *compressedCache) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.data != nil && !now.Before(p.until) {
+		p.data = nil
+	}
+}
+
 // packSnapshot returns a compressed snapshot: an update without servers, then each server, so that
 // neither side holds more than one of them uncompressed.
 func packSnapshot(now time.Time, state *platformstate.State) ([]byte, error) {
@@ -96,9 +114,10 @@
 	return out.Bytes(), nil
 }
 
-// unpackSnapshot reads an uncompressed snapshot.
+// unpackSnapshot reads an uncompressed snapshot. It uses a faster decoder than the other messages: a
+// start decodes all servers.
 func unpackSnapshot(raw io.Reader) (*platformstate.Update, error) {
-	decoder := json.NewDecoder(raw)
+	decoder := gojson.NewDecoder(raw)
 	var u platformstate.Update
 	if err := decoder.Decode(&u); err != nil {
 		return nil, merry.Wrap(ErrFetch, merry.WithCause(err))
@@ -187,7 +206,7 @@
 		return
 	}
 	var raw []byte
-	_, err := g.fetchCompressed(ctx, address, configurationProcedure, func(unpacked io.Reader) (err error) {
+	_, _, err := g.fetchCompressed(ctx, address, configurationProcedure, func(unpacked io.Reader) (err error) {
 		raw, err = io.ReadAll(unpacked)
 		return err
 	})
@@ -202,7 +221,7 @@
 // configuration.
 func (g *Gossip) fetchSnapshot(ctx context.Context, address, from string) (*platformstate.Update, error) {
 	var u *platformstate.Update
-	age, err := g.fetchCompressed(ctx, address, snapshotProcedure, func(raw io.Reader) (err error) {
+	age, packed, err := g.fetchCompressed(ctx, address, snapshotProcedure, func(raw io.Reader) (err error) {
 		u, err = unpackSnapshot(raw)
 		return err
 	})
@@ -210,38 +229,40 @@
 		return nil, err
 	}
 	g.applyUpdate(g.opts.Now().Add(-age), u, from)
+	g.snapshotCache.setFetched(g.opts.Now(), age, packed)
 	u.Servers = nil
 	return u, nil
 }
 
 // fetchCompressed fetches state from another instance, lets read read it uncompressed, and returns
-// its age.
-func (g *Gossip) fetchCompressed(ctx context.Context, address, procedure string, read func(raw io.Reader) error) (time.Duration, error) {
+// its age and its compressed form.
+func (g *Gossip) fetchCompressed(ctx context.Context, address, procedure string, read func(raw io.Reader) error) (age time.Duration, packed []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	sentAt := g.opts.Now()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+procedure, nil)
 	if err != nil {
-		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, nil, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	g.client.Sign(sentAt, req.Header, procedure)
 	res, err := g.client.HTTP.Do(req)
 	if err != nil {
-		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, nil, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	defer res.Body.Close()
 	g.seedRefused.Store(res.StatusCode == http.StatusServiceUnavailable)
 	if res.StatusCode != http.StatusOK {
-		return 0, merry.Wrap(ErrFetch, merry.AppendMessagef("status %d", res.StatusCode))
+		return 0, nil, merry.Wrap(ErrFetch, merry.AppendMessagef("status %d", res.StatusCode))
 	}
-	unpacked, err := gzip.NewReader(res.Body)
+	var kept bytes.Buffer
+	unpacked, err := gzip.NewReader(io.TeeReader(res.Body, &kept))
 	if err != nil {
-		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, nil, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	if err := read(io.LimitReader(unpacked, instancerpc.MaxBytes)); err != nil {
-		return 0, merry.Wrap(ErrFetch, merry.WithCause(err))
+		return 0, nil, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	millis, _ := strconv.ParseInt(res.Header.Get(ageHeader), 10, 64)
 	// The transfer time is part of the age.
-	return time.Duration(millis)*time.Millisecond + g.opts.Now().Sub(sentAt), nil
+	return time.Duration(millis)*time.Millisecond + g.opts.Now().Sub(sentAt), kept.Bytes(), nil
 }
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -108,6 +108,14 @@
 	u := m.Update
 	switch {
 	case m.Snapshot:
+		// One fetch at a time: what it misses shows up with the next probe.
+		if !g.snapshotMu.TryLock() {
+			return
+		}
+		defer g.snapshotMu.Unlock()
+		if version, _ := g.opts.State.Version(platformstate.Servers); version != versions[platformstate.Servers].Version {
+			return
+		}
 		if u, err = g.fetchSnapshot(ctx, address, m.From); err != nil {
 			g.opts.Log.Info().Str("instance", m.From).Err(err).Msg("failed to fetch snapshot from another instance")
 			return
@@ -151,9 +159,9 @@
 			}
 			g.fetchNewerConfiguration(context.WithoutCancel(ctx), m.Versions, r.Peer)
 		}
-		u := g.opts.State.UpdateFor(now, *m.Versions)
+		u, complete := g.opts.State.UpdateFor(now, *m.Versions)
 		answer.Update = &u
-		if u.Snapshot && len(u.Servers) >= minSnapshotServers && g.opts.State.Known() {
+		if !complete && g.opts.State.Known() {
 			answer.Update, answer.Snapshot = nil, true
 		}
 	}
--- a/internal/instancerpc/instancerpc.go
+++ b/internal/instancerpc/instancerpc.go
@@ -25,8 +25,9 @@
 	MaxBytes = 8 << 20
 	// idleTimeout is how long an unused connection is kept open.
 	idleTimeout = 8 * time.Second
-	// compressMinBytes is the size from which messages are compressed.
-	compressMinBytes = 4 << 10
+	// compressMinBytes is the size from which messages are compressed: a compressor takes longer to
+	// set up than a smaller message takes to send.
+	compressMinBytes = 16 << 10
 )
 
 // Client signs calls to other instances and holds the connections for them.
--- a/internal/platformstate/rollouts_test.go
+++ b/internal/platformstate/rollouts_test.go
@@ -108,11 +108,11 @@
 	s, other := twoVersions(t), NewState()
 	other.EnableRollouts()
 	s.SetStage("o", rollout.StagePromoting)
-	u := s.UpdateFor(start, other.Versions(start))
+	u, _ := s.UpdateFor(start, other.Versions(start))
 	other.Apply(start, &u)
 	require.Equal(t, []string{"new"}, idsOf(other.Servers("desk")))
 	s.SetStage("o", rollout.StageRollingBack)
-	u = s.UpdateFor(start, other.Versions(start))
+	u, _ = s.UpdateFor(start, other.Versions(start))
 	other.Apply(start, &u)
 	require.Equal(t, []string{"old"}, idsOf(other.Servers("desk")))
 }
--- a/internal/platformstate/update.go
+++ b/internal/platformstate/update.go
@@ -92,27 +92,40 @@
 	return false
 }
 
-// UpdateFor returns the update for an instance that has these versions.
-func (s *State) UpdateFor(now time.Time, has Versions) Update {
+// maxInlineServers is the number of servers up to which an update holds all of them if it doesn't know
+// the changes.
+const maxInlineServers = 100
+
+// UpdateFor returns the update for an instance that has these versions, see [State.UpdateSince].
+func (s *State) UpdateFor(now time.Time, has Versions) (u Update, complete bool) {
 	return s.UpdateSince(now, has[Servers].Version)
 }
 
 // UpdateSince returns the update since a version of the servers. It doesn't hold the
 // configuration: that is large, and fetched by the instances that lack it.
-func (s *State) UpdateSince(now time.Time, servers int64) Update {
+//
+// If the changes aren't known, the update holds all servers, or none if there are many: then it isn't
+// complete, and an instance that lacks them finds that changes are missing. So its size doesn't grow
+// with the servers.
+func (s *State) UpdateSince(now time.Time, servers int64) (u Update, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{Versions: s.currentVersions(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
+	u = Update{Versions: s.currentVersions(now), From: servers, Zones: slices.Sorted(maps.Keys(s.zones)), Rollouts: s.listRollouts()}
 	changes, minFrom, ok := s.changesSince(now, servers)
-	if !ok || servers == 0 {
-		u.Snapshot = true
-		for _, known := range s.listedServers() {
-			u.Servers = append(u.Servers, known.Outgoing(now))
-		}
-		return u
+	switch {
+	case ok && servers > 0:
+		u.Changes, u.MinFrom = changes, minFrom
+		return u, true
+	case len(s.servers) > maxInlineServers:
+		u.From = s.versions[Servers]
+		u.MinFrom = u.From
+		return u, false
 	}
-	u.Changes, u.MinFrom = changes, minFrom
-	return u
+	u.Snapshot = true
+	for _, known := range s.listedServers() {
+		u.Servers = append(u.Servers, known.Outgoing(now))
+	}
+	return u, true
 }
 
 // Snapshot returns the update for an instance that knows nothing, and apart from it the servers, which
@@ -124,15 +137,6 @@
 	return u, s.listedServers()
 }
 
-// WithoutServers returns a snapshot update without its servers: an instance that lacks them finds
-// that changes are missing, and fetches them. Its size doesn't grow with the number of servers.
-func (u Update) WithoutServers() Update {
-	u.Snapshot, u.Servers = false, nil
-	u.From = u.Versions[Servers].Version
-	u.MinFrom = u.From
-	return u
-}
-
 // Apply applies an update and reports whether changes before it are missing.
 func (s *State) Apply(now time.Time, u *Update) (missing bool) {
 	s.mu.Lock()
--- a/internal/platformstate/update_test.go
+++ b/internal/platformstate/update_test.go
@@ -41,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			tt.known(s)
-			u := source.UpdateSince(start, tt.since)
+			u, _ := source.UpdateSince(start, tt.since)
 			require.Equal(t, tt.snapshot, u.Snapshot)
 			require.Equal(t, tt.missing, s.Apply(start, &u))
 			require.Equal(t, tt.want, ids(s))
@@ -58,7 +58,7 @@
 	a.ReplaceServers(start, 1, []dialect.Server{server("x")})
 	a.ChangeServers(start, 1, 2, []Change{put("s", 5*time.Second)})
 	now := start.Add(3 * time.Second)
-	u := a.UpdateSince(now, 1)
+	u, _ := a.UpdateSince(now, 1)
 	b.ReplaceServers(start, 1, []dialect.Server{server("x")})
 	b.Apply(now, &u)
 	receiver, ok := b.Server("s")
@@ -78,7 +78,7 @@
 	lister.OutageEnded(after)
 	lister.ReplaceServers(after, 20, nil)
 	lister.RecordListing(after, Servers)
-	u := lister.UpdateSince(after, 10)
+	u, _ := lister.UpdateSince(after, 10)
 	require.False(t, receiver.Apply(after, &u))
 	require.Equal(t, []string{"a", "b"}, ids(receiver))
 	receiver.Sweep(after.Add(reappearTime))
@@ -130,7 +130,8 @@
 						}
 						r.ReplaceServers(start, version, list)
 					}
-					sent = append(sent, r.UpdateSince(start, max(1, published[i])))
+					u, _ := r.UpdateSince(start, max(1, published[i]))
+					sent = append(sent, u)
 					published[i], _ = r.Version(Servers)
 				}
 			case 2:
@@ -143,7 +144,7 @@
 				}
 			case 3:
 				r := sources[rapid.IntRange(0, 1).Draw(t, "from")]
-				u := r.UpdateFor(start, receiver.Versions(start))
+				u, _ := r.UpdateFor(start, receiver.Versions(start))
 				require.False(t, receiver.Apply(start, &u))
 				require.False(t, receiver.Behind(r.Versions(start)))
 			}
