Decode only the servers that changed since the last list

Cause: the instance that lists the servers for all decodes every entry, each 1.5 s, with a decoder that takes 2.2 ms for 500: growth with the servers, on one small instance.

--- a/internal/platformstate/apply.go
+++ b/internal/platformstate/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
@@ -59,20 +60,41 @@
 	}
 }
 
-// listServers lists the servers. It decodes page by page, as there may be thousands.
+// listServers lists the servers, of which there may be thousands: it decodes page by page, and only
+// the entries whose revision differs from that in the last list.
 func (f *Follower) listServers(ctx context.Context) (resourceList, error) {
 	var list []dialect.Server
+	f.mu.Lock()
+	before := f.revisions
+	f.mu.Unlock()
+	revisions := make(map[string]int64, len(before))
 	version, err := f.opts.Objects.ListPages(ctx, f.opts.Dialect.Kinds.Servers, func(page []objectapi.Object) {
 		list = slices.Grow(list, len(page))
 		for _, o := range page {
-			if s, ok := f.server(o); ok {
+			s, ok := f.unchanged(before, o)
+			if !ok {
+				s, ok = f.server(o)
+			}
+			if ok {
 				list = append(list, s)
+				revisions[strings.Clone(o.Name)] = o.Version
 			}
 		}
 	})
+	f.mu.Lock()
+	f.revisions = revisions
+	f.mu.Unlock()
 	return resourceList{version, func(now time.Time) { f.opts.State.ReplaceServers(now, version, list) }}, err
 }
 
+// unchanged returns the entry of a server that has the same revision as before.
+func (f *Follower) unchanged(before map[string]int64, o objectapi.Object) (dialect.Server, bool) {
+	if revision, ok := before[o.Name]; !ok || revision != o.Version || o.Version == 0 {
+		return dialect.Server{}, false
+	}
+	return f.opts.State.Listed(o.Name)
+}
+
 // applyServers applies changes of servers. An invalid entry replaces the previous one:
 // another writer may have written it.
 func (f *Follower) applyServers(now time.Time, from, to int64, events []objectapi.Event) {
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -88,6 +88,8 @@
 	started time.Time
 
 	mu sync.Mutex
+	// revisions holds the revision of each server in the last list. The map doesn't change.
+	revisions map[string]int64
 	// failedCalls is the number of consecutive failed calls since failingSince.
 	failedCalls  int
 	failingSince time.Time
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -175,6 +175,17 @@
 	return *e.Server, true
 }
 
+// Listed returns the platform's entry of a backend server, or false if it isn't listed.
+func (s *State) Listed(id string) (dialect.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.servers[id]
+	if !ok || !e.missingSince.IsZero() {
+		return dialect.Server{}, false
+	}
+	return e.listed(), true
+}
+
 // Version returns the version of a resource and when it was last confirmed.
 func (s *State) Version(res Resource) (int64, time.Time) {
 	s.mu.Lock()
