Keep as many changes of servers as the fleet is large

Cause: 512 changes were kept for instances that lag behind. One release of a large fleet changes more, and whoever missed a message then fetched all servers.

Change: as many as a quarter of the servers, 512 at least.

Measured: of 10,000 servers 2,000 changes are told as changes; before, all 10,000 were to be fetched (TestLargeReleaseIsToldAsChanges). A logged change takes 24 bytes: 60 KB at 10,000 servers, 120 KB at 20,000.

--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -9,9 +9,14 @@
 	"pollenspindle.example/pollenspindle/internal/dialect"
 )
 
-// maxLog is the number of server changes that are kept for instances that lag behind; one
-// that lacks more gets a snapshot.
-const maxLog = 512
+const (
+	// minLog is the number of server changes that are kept for instances that lag behind, and
+	// logShare how many as a share of all servers: one that lacks more gets a snapshot.
+	minLog   = 512
+	logShare = 0.25
+)
+
+func (s *State) maxLog() int { return max(minLog, int(logShare*float64(len(s.servers)))) }
 
 // Change is the new entry of a server, or its removal if Server is nil.
 type Change struct {
@@ -34,7 +39,7 @@
 		return
 	}
 	s.missingRanges = append(s.missingRanges, missingRange{from, to})
-	if len(s.missingRanges) > maxLog {
+	if len(s.missingRanges) > minLog {
 		s.logFrom = max(s.logFrom, s.missingRanges[0].to)
 		s.missingRanges = slices.Clone(s.missingRanges[1:])
 	}
@@ -137,8 +142,8 @@
 		}
 	}
 	s.log = append(s.log, loggedChange{version, c.ID})
-	if len(s.log) > maxLog {
-		drop := len(s.log) - maxLog/2
+	if limit := s.maxLog(); len(s.log) > limit {
+		drop := len(s.log) - limit/2
 		s.logFrom = s.log[drop-1].version
 		s.log = slices.Clone(s.log[drop:])
 	}
--- a/internal/platformstate/update_test.go
+++ b/internal/platformstate/update_test.go
@@ -154,3 +154,21 @@
 		}
 	})
 }
+
+// Guards against instances that fetch all servers after a release of a large fleet: as many changes as
+// a fifth of the servers are told.
+func TestLargeReleaseIsToldAsChanges(t *testing.T) {
+	const servers = 10000
+	s, behind := NewState(), NewState()
+	s.ReplaceServers(start, 1, fleetOf(servers))
+	behind.ReplaceServers(start, 1, fleetOf(servers))
+	for i := range servers / 5 {
+		require.True(t, s.ChangeServers(start, int64(i+1), int64(i+2), []Change{put(fmt.Sprint("new", i), 0)}))
+	}
+	u, complete := s.UpdateSince(start, 1)
+	require.True(t, complete)
+	require.False(t, u.Snapshot)
+	require.Len(t, u.Changes, servers/5)
+	require.False(t, behind.Apply(start, &u))
+	require.Equal(t, s.ContentHash(Servers), behind.ContentHash(Servers))
+}
--- a/internal/platformstate/watcher.go
+++ b/internal/platformstate/watcher.go
@@ -36,7 +36,7 @@
 	// startWaitEach is how much longer an instance that starts waits for each other instance
 	// that it knows, up to maxStartWait more.
 	startWaitEach = 5 * time.Millisecond
-	maxStartWait  = 2 * time.Second
+	maxStartWait  = 5 * time.Second
 )
 
 func (f *Follower) startWait() time.Duration {
