Spread the state by the links of the instances when all start

Cause: an instance hands over at most 512 KiB of state a second, two lists of 10,000 servers, whatever its link; each new instance asked a seed every 0.15 s for 2 s, 985 of them three seeds; and who had nothing after 2.4 s listed all servers itself, some 4 MB from a platform with a link of 1 Gbit/s: 985 such lists take it half a minute.

Change: state is handed over on half of the instance's link, a new setting. Once an instance knows others, two of three calls go to them and carry no records.

Worked out for twice the size (2,000 instances, 20,000 servers, lists of 0.5 MB, links of 20 Mbit/s): each instance that has the list gives it to two or three others a second, so that seven rounds, some 4 s, reach all.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,10 +64,12 @@
 	// broadcastInterval is the minimum time between two broadcasts of this instance, so that
 	// changes in quick succession are sent together.
 	broadcastInterval = 100 * time.Millisecond
-	// joinInterval is how often an instance that starts calls a seed for fastJoinTime, on
-	// average: all instances may start at the same time.
+	// joinInterval is how often, on average, an instance that starts calls others until it knows the
+	// platform state, for fastJoinTime and joinTimeEach longer for each other instance: all may start
+	// at the same time, and the state takes longer to reach more of them.
 	joinInterval = 150 * time.Millisecond
 	fastJoinTime = 2 * time.Second
+	joinTimeEach = 5 * time.Millisecond
 )
 
 // Options configures a [Gossip].
@@ -87,6 +89,8 @@
 	Suspects      func(now time.Time) []crashsuspect.Entry
 	// Limits are the request limits of backend servers; nil for none.
 	Limits *pushback.Limits
+	// ServeBytesPerSecond limits the state that is served to other instances; 0 for the default.
+	ServeBytesPerSecond int
 	// Handlers are further handlers for calls of instances, by path.
 	Handlers map[string]http.Handler
 	Log      zerolog.Logger
@@ -119,8 +123,6 @@
 	pendingRecords  recordQueue
 	pendingSuspects suspectQueue
 	joining         addressSet
-	// seedRefused is set while another instance refuses to serve the missing state.
-	seedRefused atomic.Bool
 	// joined is set once another instance has answered a sync.
 	joined atomic.Bool
 }
@@ -140,10 +142,13 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
+	if opts.ServeBytesPerSecond <= 0 {
+		opts.ServeBytesPerSecond = defaultServedPerSecond
+	}
 	self := opts.Table.Self().ID
 	return &Gossip{
 		opts: opts, self: self, client: instancerpc.NewClient(opts.Key, self, probeTimeout), calls: calls, deliveries: newDeliveries(),
-		wake: make(chan struct{}, 1), serveLimiter: rate.NewLimiter(servedPerSecond, servedPerSecond),
+		wake: make(chan struct{}, 1), serveLimiter: rate.NewLimiter(rate.Limit(opts.ServeBytesPerSecond), opts.ServeBytesPerSecond),
 	}, nil
 }
 
@@ -187,10 +192,11 @@
 		now := g.opts.Now()
 		g.updateSelf(now)
 		g.snapshotCache.expire(now)
-		pause := periodFor(g.opts.Table.Count(now))
+		count := g.opts.Table.Count(now)
+		pause := periodFor(count)
 		if !g.joined.Load() || !g.opts.State.Known() {
 			g.join(ctx, rng)
-			if now.Sub(started) < fastJoinTime {
+			if now.Sub(started) < fastJoinTime+time.Duration(count)*joinTimeEach {
 				pause = joinInterval/2 + time.Duration(rng.Int64N(int64(joinInterval)))
 			}
 		}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -218,7 +218,7 @@
 	require.Same(t, &first[0], &again[0])
 	require.Less(t, age, snapshotTTL)
 
-	seed.serveLimiter.ReserveN(time.Now(), servedPerSecond)
+	seed.serveLimiter.ReserveN(time.Now(), defaultServedPerSecond)
 	_, err = newcomer.fetchSnapshot(t.Context(), seed.address, "seed")
 	require.ErrorIs(t, err, ErrFetch, "one instance serves all")
 }
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -32,9 +32,9 @@
 	// instances start, each passes it on.
 	snapshotTTL        = 400 * time.Millisecond
 	fetchedSnapshotTTL = 3 * time.Second
-	// servedPerSecond limits the bytes served: if hundreds of instances start at once, each
+	// defaultServedPerSecond limits the bytes served: if hundreds of instances start at once, each
 	// instance that has the state passes it on to a few.
-	servedPerSecond = 512 << 10
+	defaultServedPerSecond = 512 << 10
 )
 
 // ErrFetch means that another instance didn't return its state.
@@ -173,7 +173,7 @@
 	case err != nil || len(data) == 0:
 		w.WriteHeader(http.StatusNotFound)
 		return
-	case !g.serveLimiter.AllowN(g.opts.Now(), min(len(data), servedPerSecond)):
+	case !g.serveLimiter.AllowN(g.opts.Now(), min(len(data), g.opts.ServeBytesPerSecond)):
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -250,7 +250,6 @@
 		return 0, nil, merry.Wrap(ErrFetch, merry.WithCause(err))
 	}
 	defer res.Body.Close()
-	g.seedRefused.Store(res.StatusCode == http.StatusServiceUnavailable)
 	if res.StatusCode != http.StatusOK {
 		return 0, nil, merry.Wrap(ErrFetch, merry.AppendMessagef("status %d", res.StatusCode))
 	}
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -16,18 +16,20 @@
 // same few seeds.
 const maxJoinRecords = 24
 
-// seedJoinOdds makes one in this many calls go to a seed once the seeds are overloaded.
+// seedJoinOdds makes one in this many calls go to a seed once others are known: the few seeds would
+// be overloaded if hundreds of instances waited for them.
 const seedJoinOdds = 3
 
 // joinTimeout limits a call to a seed that may not have started yet: a machine without
 // power doesn't refuse a connection.
 const joinTimeout = 350 * time.Millisecond
 
-// join calls a seed, or if the seeds are overloaded one of the instances learned from
-// them, for other instances and the platform state. It makes one call at a time to each.
+// join calls a seed, or one of the instances learned from them, for other instances and the platform
+// state. It makes one call at a time to each.
 func (g *Gossip) join(ctx context.Context, rng *rand.Rand) {
 	seeds := slices.DeleteFunc(slices.Clone(g.opts.Seeds), func(s string) bool { return s == g.opts.Table.Self().Peer || g.joining.has(s) })
-	if r, ok := g.opts.Table.RandomRunning(rng); ok && (len(seeds) == 0 || g.seedRefused.Load() && rng.IntN(seedJoinOdds) > 0) {
+	joined := g.joined.Load()
+	if r, ok := g.opts.Table.RandomRunning(rng); ok && (len(seeds) == 0 || joined && rng.IntN(seedJoinOdds) > 0) {
 		seeds = []string{r.Peer}
 	}
 	if len(seeds) == 0 {
@@ -37,9 +39,13 @@
 	if !g.joining.add(address) {
 		return
 	}
+	var records []membership.Record
+	if !joined {
+		records = []membership.Record{g.opts.Table.Self()}
+	}
 	if g.calls.Submit(func() {
 		defer g.joining.remove(address)
-		g.sync(ctx, address, joinTimeout, []membership.Record{g.opts.Table.Self()})
+		g.sync(ctx, address, joinTimeout, records)
 	}) != nil {
 		g.joining.remove(address)
 	}
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -68,7 +68,7 @@
 	in.gossip, err = gossip.New(gossip.Options{
 		ApplySuspects: in.suspects.Merge, Suspects: in.suspects.Newest, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
-		Seeds:  in.seeds(),
+		Seeds: in.seeds(), ServeBytesPerSecond: int(cfg.LinkMegabits * bytesPerMegabit * servedLinkShare),
 		Status: in.status, Handlers: in.handlers(),
 		ApplyConfiguration: func(now time.Time, value []byte, source string) {
 			in.follower.ApplyRawConfiguration(now, value, source)
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -65,6 +65,9 @@
 	// denyAgeShare times the time limit for configuration changes is the maximum age of a confirmed
 	// configuration with which requests are denied.
 	denyAgeShare = 0.95
+	// servedLinkShare is the share of the link on which platform state is served to other instances.
+	servedLinkShare = 0.5
+	bytesPerMegabit = 1e6 / 8
 	// startupWait is how long a starting instance waits for other instances to send it the platform
 	// state, firstStartupWait the same when no callers come yet. Up to startupJitter is added, so
 	// that instances that start together receive what the first ones read.
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -29,6 +29,8 @@
 	PeerKey string `json:"peerKey"`
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int `json:"memoryMegabytes"`
+	// LinkMegabits is the bandwidth of the instance's link in megabits per second; 0 if unknown.
+	LinkMegabits float64 `json:"linkMegabits"`
 	// FirstStart means that all instances start for the first time, before there are callers.
 	FirstStart bool `json:"firstStart"`
 	// GraceSeconds is the time that requests have to complete at a shutdown.
@@ -117,7 +119,7 @@
 		value float64
 	}{
 		{"graceSeconds", s.GraceSeconds}, {"coldOverage", s.ColdOverage}, {"coldSlack", s.ColdSlack},
-		{"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack},
+		{"linkMegabits", s.LinkMegabits}, {"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack},
 		{"configurationMillis", s.ConfigurationMillis}, {"drainMillis", s.DrainMillis}, {"evacuationMillis", s.EvacuationMillis},
 		{"rollbackMillis", s.RollbackMillis}, {"exposureShare", s.ExposureShare}, {"exposureSlack", s.ExposureSlack},
 	} {
