Return the memory of a start

Cause: reading the state of 10,001 servers takes several times as much memory as holding it, and the collector keeps what it once had.

Change: 3 s after an instance is ready its free memory is returned, once.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -59,6 +59,10 @@
 	// callers that learned of it before open new connections.
 	minLeaveTime      = 2500 * time.Millisecond
 	leavePollInterval = 50 * time.Millisecond
+	// startupMemoryDelay is how long after an instance is ready the memory of its start is returned:
+	// the records of the others have arrived by then.
+	startupMemoryDelay = 3 * time.Second
+	readyPollInterval  = 250 * time.Millisecond
 	// attemptRetryShare is the share of the deployment's retry budget for attempts; the rest is for
 	// generations that resume on another server.
 	attemptRetryShare = 0.5
@@ -154,6 +158,7 @@
 	}
 	in.background.Go(func() { in.watchSettings(backgroundCtx) })
 	in.background.Go(func() { in.serveMetrics(backgroundCtx) })
+	in.background.Go(func() { in.freeStartupMemory(backgroundCtx) })
 	go func() { failed <- in.gossip.Serve(backgroundCtx, peers) }()
 	go func() { failed <- in.server.Run(backgroundCtx) }()
 	in.log.Info().Str("callers", in.cfg.CallerAddress).Str("peers", in.cfg.PeerAddress).Msg("instance serves")
@@ -170,6 +175,19 @@
 	return err
 }
 
+// freeStartupMemory returns the memory of the start to the operating system, once: reading the state of
+// thousands of servers takes several times as much as holding it, and the collector keeps the rest.
+func (in *instance) freeStartupMemory(ctx context.Context) {
+	for !in.server.Ready() {
+		if objectapi.Sleep(ctx, readyPollInterval) != nil {
+			return
+		}
+	}
+	if objectapi.Sleep(ctx, startupMemoryDelay) == nil {
+		debug.FreeOSMemory()
+	}
+}
+
 // leave sends callers to other instances, lets requests complete and closes the server.
 func (in *instance) leave() {
 	now := time.Now()
