Collect the changed records of many instances into few broadcasts

Cause: an instance whose own record changed (ready, leaving, platform unreachable) or that found another one down told all others by a broadcast of its own. The children of an instance that had to fetch what a broadcast announced were told before it had it.

Change: records alone are handed to the first of two collectors, the first ones in an order by hash of those that run, which broadcasts what it collected in 0.5 ms for each instance, 1 s at most. Where neither answers, the instance broadcasts by itself. A broadcast is passed on after what it announces has been fetched, so that the state goes down the tree.

--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,22 +16,29 @@
 // maxDepth limits how many levels of unreachable instances a broadcast skips.
 const maxDepth = 2
 
-// recordQueue holds changed records for the next broadcast.
+// recordQueue holds the newest changed record of each instance for the next broadcast.
 type recordQueue struct {
 	mu      sync.Mutex
-	records []membership.Record
+	records map[string]membership.Record
 }
 
-func (p *recordQueue) add(r membership.Record) {
+func (p *recordQueue) add(records ...membership.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.records = append(p.records, r)
+	if p.records == nil {
+		p.records = map[string]membership.Record{}
+	}
+	for _, r := range records {
+		if known, ok := p.records[r.ID]; !ok || r.Newer(&known) {
+			p.records[r.ID] = r
+		}
+	}
 }
 
 func (p *recordQueue) take() []membership.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	records := p.records
+	records := slices.Collect(maps.Values(p.records))
 	p.records = nil
 	return records
 }
@@ -71,21 +80,83 @@
 	servers     int64
 }
 
-// broadcastLoop broadcasts changes, with one message for all since the last one.
+// broadcastLoop broadcasts changes, with one message for all since the last one. Records alone are
+// handed to a collector.
 func (g *Gossip) broadcastLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.wake:
+			g.forward(ctx, g.nextBroadcast(g.opts.Now()))
+		case <-g.wakeRecords:
+			if records := g.pendingRecords.take(); len(records) > 0 && !g.handToCollector(ctx, records) {
+				g.pendingRecords.add(records...)
+				g.forward(ctx, g.nextBroadcast(g.opts.Now()))
+			}
+		case <-g.wakeCollected:
+			if objectapi.Sleep(ctx, collectTime(g.opts.Table.Count(g.opts.Now()))) != nil {
+				return
+			}
+			g.forward(ctx, g.nextBroadcast(g.opts.Now()))
 		}
-		g.forward(ctx, g.nextBroadcast(g.opts.Now()))
 		if objectapi.Sleep(ctx, broadcastInterval) != nil {
 			return
 		}
 	}
 }
 
+const (
+	// collectorCount is the number of instances that are tried as collectors.
+	collectorCount = 2
+	// collectTimeEach is how long a collector collects for each instance, up to maxCollectTime: the
+	// messages a second for each instance then don't grow with their number.
+	collectTimeEach = 500 * time.Microsecond
+	maxCollectTime  = time.Second
+)
+
+// collectTime returns how long one of n instances collects records until it broadcasts them.
+func collectTime(n int) time.Duration { return min(maxCollectTime, time.Duration(n)*collectTimeEach) }
+
+// announce lets a changed record be broadcast. It doesn't block.
+func (g *Gossip) announce(r membership.Record) {
+	g.pendingRecords.add(r)
+	select {
+	case g.wakeRecords <- struct{}{}:
+	default:
+	}
+}
+
+// handToCollector hands changed records to the instance that broadcasts those of all: when hundreds
+// of instances start or lose the platform at the same time, each would otherwise send its own record
+// to all others. It returns false if this instance has to broadcast them.
+func (g *Gossip) handToCollector(ctx context.Context, records []membership.Record) bool {
+	for _, r := range g.opts.Table.Collectors(collectorCount) {
+		if r.ID == g.self {
+			return false
+		}
+		if g.inBackoff(r.ID) {
+			continue
+		}
+		if _, err := g.call(ctx, r.Peer, collectProcedure, broadcastTimeout, &Message{Records: records}); err == nil {
+			return true
+		}
+		g.backOff(r.ID)
+	}
+	return false
+}
+
+// handleCollect queues records for the next broadcast.
+func (g *Gossip) handleCollect(_ context.Context, m *Message) *Message {
+	g.mergeRecords(g.opts.Now(), m.Records)
+	g.pendingRecords.add(m.Records...)
+	select {
+	case g.wakeCollected <- struct{}{}:
+	default:
+	}
+	return &Message{}
+}
+
 // nextBroadcast returns the message to broadcast. It holds recent changes only, since it goes to
 // all instances; those that lack more fetch it.
 func (g *Gossip) nextBroadcast(now time.Time) *Message {
@@ -137,34 +208,28 @@
 	fresh := g.deliveries.isNew(m.Origin, m.Incarnation, m.Sequence)
 	g.mergeRecords(now, m.Records)
 	g.opts.ApplySuspects(now, m.Suspects)
-	if m.Update != nil {
-		g.applyOrFetch(ctx, now, m.Update, m.From)
-	}
-	sender, ok := g.opts.Table.Get(m.From)
-	lacks := ok && m.Update != nil && g.lacksConfiguration(&m.Update.Versions)
+	missing := m.Update != nil && (g.applyUpdate(now, m.Update, m.From) || g.opts.State.BehindExcept(m.Update.Versions, platformstate.Configuration))
+	sender, known := g.opts.Table.Get(m.From)
 	switch {
-	case fresh && lacks:
-		// The children of this instance fetch the configuration from it.
+	case known && fresh && (missing || m.Update != nil && g.lacksConfiguration(&m.Update.Versions)):
+		// The children of this instance fetch from it what they lack.
 		g.submit("news", func() {
-			g.fetchConfiguration(ctx, sender.Peer)
+			if missing {
+				g.fetchOnce(ctx, sender.Peer)
+			}
+			if g.lacksConfiguration(&m.Update.Versions) {
+				g.fetchConfiguration(ctx, sender.Peer)
+			}
 			g.forward(ctx, m)
 		})
 	case fresh:
 		g.forward(ctx, m)
+	case known && missing:
+		g.fetchMissing(ctx, sender.Peer)
 	}
 	return &Message{}
 }
 
-// applyOrFetch applies an update, and fetches the changes missing before it.
-func (g *Gossip) applyOrFetch(ctx context.Context, now time.Time, u *platformstate.Update, from string) {
-	if !g.applyUpdate(now, u, from) && !g.opts.State.BehindExcept(u.Versions, platformstate.Configuration) {
-		return
-	}
-	if r, ok := g.opts.Table.Get(from); ok {
-		g.fetchMissing(ctx, r.Peer)
-	}
-}
-
 // applyUpdate applies an update and reports whether changes before it are missing.
 func (g *Gossip) applyUpdate(now time.Time, u *platformstate.Update, from string) (missing bool) {
 	parts := []platformstate.Resource{platformstate.Servers, platformstate.Zones}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,6 +46,7 @@
 	probeProcedure         = servicePath + "Probe"
 	indirectProbeProcedure = servicePath + "Help"
 	broadcastProcedure     = servicePath + "News"
+	collectProcedure       = servicePath + "Collect"
 	syncProcedure          = servicePath + "Sync"
 	// probePeriod is the time between two probes with up to fullRateInstances instances. With
 	// more, it grows up to twice that, as others probe the same instances.
@@ -64,12 +65,10 @@
 	// broadcastInterval is the minimum time between two broadcasts of this instance, so that
 	// changes in quick succession are sent together.
 	broadcastInterval = 100 * time.Millisecond
-	// joinInterval is how often, on average, an instance that starts calls others until it knows the
-	// platform state, for fastJoinTime and joinTimeEach longer for each other instance: all may start
-	// at the same time, and the state takes longer to reach more of them.
+	// joinInterval is how often, on average, an instance that starts calls a seed for fastJoinTime:
+	// all instances may start at the same time.
 	joinInterval = 150 * time.Millisecond
 	fastJoinTime = 2 * time.Second
-	joinTimeEach = 5 * time.Millisecond
 )
 
 // Options configures a [Gossip].
@@ -108,7 +107,10 @@
 	deliveries *deliveries
 	// wake holds a value while there is something to broadcast. One is enough: a broadcast
 	// holds the state at the time at which it is sent.
-	wake               chan struct{}
+	wake chan struct{}
+	// wakeRecords is the same for this instance's records alone, wakeCollected for those of others.
+	wakeCollected      chan struct{}
+	wakeRecords        chan struct{}
 	sequence           atomic.Int64
 	lastBroadcast      lastBroadcast
 	configurationCache compressedCache
@@ -148,7 +150,7 @@
 	self := opts.Table.Self().ID
 	return &Gossip{
 		opts: opts, self: self, client: instancerpc.NewClient(opts.Key, self, probeTimeout), calls: calls, deliveries: newDeliveries(),
-		wake: make(chan struct{}, 1), serveLimiter: rate.NewLimiter(rate.Limit(opts.ServeBytesPerSecond), opts.ServeBytesPerSecond),
+		wake: make(chan struct{}, 1), wakeRecords: make(chan struct{}, 1), wakeCollected: make(chan struct{}, 1), serveLimiter: rate.NewLimiter(rate.Limit(opts.ServeBytesPerSecond), opts.ServeBytesPerSecond),
 	}, nil
 }
 
@@ -170,14 +172,12 @@
 // BroadcastLeaving broadcasts that callers must no longer use this instance.
 func (g *Gossip) BroadcastLeaving() {
 	g.updateSelf(g.opts.Now())
-	g.Broadcast()
 }
 
 // updateSelf updates the record of this instance.
 func (g *Gossip) updateSelf(now time.Time) {
 	if g.opts.Table.SetStatus(now, g.opts.Status()) {
-		g.pendingRecords.add(g.opts.Table.Self())
-		g.Broadcast()
+		g.announce(g.opts.Table.Self())
 	}
 }
 
@@ -192,11 +192,10 @@
 		now := g.opts.Now()
 		g.updateSelf(now)
 		g.snapshotCache.expire(now)
-		count := g.opts.Table.Count(now)
-		pause := periodFor(count)
+		pause := periodFor(g.opts.Table.Count(now))
 		if !g.joined.Load() || !g.opts.State.Known() {
 			g.join(ctx, rng)
-			if now.Sub(started) < fastJoinTime+time.Duration(count)*joinTimeEach {
+			if now.Sub(started) < fastJoinTime {
 				pause = joinInterval/2 + time.Duration(rng.Int64N(int64(joinInterval)))
 			}
 		}
@@ -286,6 +285,7 @@
 	mux.Handle(probeProcedure, g.handler(probeProcedure, g.handleProbe))
 	mux.Handle(indirectProbeProcedure, g.handler(indirectProbeProcedure, g.handleIndirectProbe))
 	mux.Handle(broadcastProcedure, g.handler(broadcastProcedure, g.handleBroadcast))
+	mux.Handle(collectProcedure, g.handler(collectProcedure, g.handleCollect))
 	mux.Handle(syncProcedure, g.handler(syncProcedure, g.handleSync))
 	mux.HandleFunc(configurationProcedure, g.serveConfiguration)
 	mux.HandleFunc(snapshotProcedure, g.serveSnapshot)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -406,3 +407,56 @@
 		require.ErrorIs(t, err, ErrFetch, "%d of %d bytes", n, len(packed))
 	}
 }
+
+// Guards against n broadcasts to n instances when all change their records at the same time, and
+// against records that are lost with the instance that collects them.
+func TestChangedRecordsAreBroadcastTogether(t *testing.T) {
+	const n = 12
+	for name, dead := range map[string]int{"collectors run": 0, "first collector is dead": 1, "all collectors are dead": collectorCount} {
+		t.Run(name, func(t *testing.T) {
+			var fleet []*testInstance
+			for i := range n {
+				fleet = append(fleet, startInstance(t, fmt.Sprintf("i%02d", i), secret("k"), false))
+			}
+			for _, a := range fleet {
+				for _, b := range fleet {
+					a.table.Merge(time.Now(), []membership.Record{b.table.Self()})
+				}
+			}
+			running := fleet
+			for _, r := range fleet[0].table.Collectors(dead) {
+				running = slices.DeleteFunc(slices.Clone(running), func(o *testInstance) bool { return o.self == r.ID })
+				for _, o := range fleet {
+					if o.self == r.ID {
+						o.stop()
+					}
+				}
+			}
+			var loops sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			defer loops.Wait()
+			defer cancel()
+			for _, o := range running {
+				loops.Go(func() { o.broadcastLoop(ctx) })
+				o.updateSelf(time.Now())
+			}
+			require.Eventually(t, func() bool {
+				for _, o := range running {
+					for _, other := range running {
+						if r, ok := o.table.Get(other.self); !ok || !r.Ready {
+							return false
+						}
+					}
+				}
+				return true
+			}, testTimeout, testTick)
+			broadcasts := int64(0)
+			for _, o := range running {
+				broadcasts += o.sequence.Load()
+			}
+			if dead < collectorCount {
+				require.LessOrEqual(t, broadcasts, int64(n/2))
+			}
+		})
+	}
+}
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -49,8 +49,7 @@
 		return
 	}
 	g.opts.Log.Info().Str("instance", r.ID).Str("zone", r.Zone).Int64("started", r.StartedAt).Msg("instance is down")
-	g.pendingRecords.add(down)
-	g.Broadcast()
+	g.announce(down)
 }
 
 // probeIndirectly lets a few other instances probe an instance, and reports whether one
@@ -130,8 +129,7 @@
 		}
 		if r.ID == g.self {
 			g.opts.Log.Info().Int64("change", r.Change).Msg("this instance was taken for down")
-			g.pendingRecords.add(r)
-			g.Broadcast()
+			g.announce(r)
 		}
 	}
 }
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -85,16 +85,18 @@
 // fetchMissing fetches missing platform state from an instance that has it. One fetch at a
 // time is enough: what it misses shows up with the next probe.
 func (g *Gossip) fetchMissing(ctx context.Context, address string) {
+	if !g.fetching.Load() {
+		g.submit("fetch", func() { g.fetchOnce(ctx, address) })
+	}
+}
+
+func (g *Gossip) fetchOnce(ctx context.Context, address string) {
 	if !g.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	if g.calls.Submit(func() {
-		defer g.fetching.Store(false)
-		g.sync(ctx, address, syncTimeout, nil)
-	}) != nil {
-		g.fetching.Store(false)
-	}
+	defer g.fetching.Store(false)
 	g.opts.Scope.Counter("fetches").Inc(1)
+	g.sync(ctx, address, syncTimeout, nil)
 }
 
 // sync exchanges records with an instance and fetches missing platform state. timeout
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -37,9 +37,9 @@
 	return 0
 }
 
-// newer compares records of one instance: the later incarnation wins, then the later
+// Newer compares records of one instance: the later incarnation wins, then the later
 // change, then the one marked as down.
-func (r *Record) newer(than *Record) bool {
+func (r *Record) Newer(than *Record) bool {
 	return cmp.Or(
 		cmp.Compare(r.StartedAt, than.StartedAt), cmp.Compare(r.Change, than.Change), cmp.Compare(bit(r.Down), bit(than.Down)),
 	) > 0
--- a/internal/membership/select.go
+++ b/internal/membership/select.go
@@ -180,17 +180,36 @@
 	return []Record{*best}
 }
 
+// Collectors returns up to n instances that collect the changed records of all, in order of
+// preference: the first ones in an order by hash of those that run and don't leave.
+func (t *Table) Collectors(n int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	const key = "collectors"
+	collectors, ok := t.cache.owners[key]
+	if !ok {
+		collectors = t.first(key, func(r *Record) bool { return !r.Down && !r.Leaving })
+		t.cache.owners[key] = collectors
+	}
+	return collectors[:min(n, len(collectors))]
+}
+
 // maxOwners is the number of owners that are cached for each key.
 const maxOwners = 3
 
 func (t *Table) owners(key string) []Record {
+	return t.first(key, func(r *Record) bool { return r.Ready && !r.Down })
+}
+
+// first returns the first maxOwners of the matching instances in the order of a key.
+func (t *Table) first(key string, match func(r *Record) bool) []Record {
 	type owner struct {
 		record *Record
 		weight uint64
 	}
 	best := make([]owner, 0, maxOwners+1)
 	add := func(r *Record) {
-		if !r.Ready || r.Down {
+		if !match(r) {
 			return
 		}
 		o := owner{r, weight(key, r.ID)}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		known, ok := t.others[r.ID]
-		if ok && !r.newer(&known.Record) {
+		if ok && !r.Newer(&known.Record) {
 			continue
 		}
 		t.others[r.ID] = &entry{Record: *r, changed: now}
