Wait for the others with the lists of a start

Change: the limit counts from the end of the wait. What a broadcast announces is asked for again, eight times at most.

--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -215,7 +215,7 @@
 		// The children of this instance fetch from it what they lack.
 		g.submit("news", func() {
 			if missing {
-				g.fetchOnce(ctx, sender.Peer)
+				g.fetchUntilCurrent(ctx, sender.Peer, m.Update.Versions)
 			}
 			if g.lacksConfiguration(&m.Update.Versions) {
 				g.fetchConfiguration(ctx, sender.Peer)
@@ -230,6 +230,23 @@
 	return &Message{}
 }
 
+const (
+	// maxFetches and fetchPause limit how often an instance asks for what a broadcast announced: its
+	// sender may be fetching it too, or refuse while it serves others.
+	maxFetches = 8
+	fetchPause = 250 * time.Millisecond
+)
+
+// fetchUntilCurrent fetches missing platform state until it isn't older than the given versions.
+func (g *Gossip) fetchUntilCurrent(ctx context.Context, address string, versions platformstate.Versions) {
+	for range maxFetches {
+		g.fetchOnce(ctx, address)
+		if !g.opts.State.BehindExcept(versions, platformstate.Configuration) || objectapi.Sleep(ctx, fetchPause) != nil {
+			return
+		}
+	}
+}
+
 // applyUpdate applies an update and reports whether changes before it are missing.
 func (g *Gossip) applyUpdate(now time.Time, u *platformstate.Update, from string) (missing bool) {
 	parts := []platformstate.Resource{platformstate.Servers, platformstate.Zones}
--- a/internal/platformstate/refresh.go
+++ b/internal/platformstate/refresh.go
@@ -132,7 +132,8 @@
 		if watching {
 			return false
 		}
-		listedAt = f.started
+		// Until then an instance that starts waits for the others.
+		listedAt = f.started.Add(f.startWait())
 	}
 	maxAge := scale(w.limit, firstRelistShare)
 	if w.resource == Servers {
