Count lists of servers that change while they are listed

Cause: a list whose first page is older than the state was dropped.

Change: such a list is compared with all servers that haven't changed since it began, and counts. While an instance hears others, those that aren't watchers come one after the other, 20 ms apart, in place of all at once; who hears nobody lists as early as before.

Measured: TestListCountsWhileServersChange.

--- a/internal/platformstate/apply.go
+++ b/internal/platformstate/apply.go
@@ -10,17 +10,22 @@
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 )
 
-// resourceList is a list of a resource as of a version; replace applies it.
+// resourceList is a list of a resource as of a version; replace applies it, and reports false if it
+// says nothing of the state.
 type resourceList struct {
 	version int64
-	replace func(now time.Time)
+	replace func(now time.Time) bool
 }
 
 // listAll returns a function that lists all objects of a kind.
-func (f *Follower) listAll(kind string, replace func(now time.Time, version int64, objects []objectapi.Object)) func(context.Context) (resourceList, error) {
+func (f *Follower) listAll(resource Resource, kind string, replace func(now time.Time, version int64, objects []objectapi.Object)) func(context.Context) (resourceList, error) {
 	return func(ctx context.Context) (resourceList, error) {
 		version, objects, err := f.opts.Objects.List(ctx, kind)
-		return resourceList{version, func(now time.Time) { replace(now, version, objects) }}, err
+		return resourceList{version, func(now time.Time) bool {
+			replace(now, version, objects)
+			known, _ := f.opts.State.Version(resource)
+			return resource == Configuration || version >= known
+		}}, err
 	}
 }
 
@@ -84,7 +89,7 @@
 	f.mu.Lock()
 	f.revisions = revisions
 	f.mu.Unlock()
-	return resourceList{version, func(now time.Time) { f.opts.State.ReplaceServers(now, version, list) }}, err
+	return resourceList{version, func(now time.Time) bool { return f.opts.State.ReplaceServers(now, version, list) }}, err
 }
 
 // unchanged returns the entry of a server that has the same revision as before.
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -148,10 +148,10 @@
 	limits := f.opts.PropagationLimits
 	var all []*watchedResource
 	for _, w := range []*watchedResource{
-		{resource: Configuration, kind: kinds.Configuration, timeout: watchTimeout, limit: limits.Configuration, list: f.listAll(kinds.Configuration, f.replaceConfiguration), apply: f.applyConfiguration},
+		{resource: Configuration, kind: kinds.Configuration, timeout: watchTimeout, limit: limits.Configuration, list: f.listAll(Configuration, kinds.Configuration, f.replaceConfiguration), apply: f.applyConfiguration},
 		{resource: Servers, kind: kinds.Servers, timeout: serversWatchTimeout, limit: limits.Servers, list: f.listServers, apply: f.applyServers},
-		{resource: Zones, kind: kinds.DrainedZones, timeout: watchTimeout, limit: limits.Zones, list: f.listAll(kinds.DrainedZones, f.replaceZones)},
-		{resource: Rollouts, kind: kinds.Rollouts, timeout: watchTimeout, limit: limits.Rollouts, list: f.listAll(kinds.Rollouts, f.replaceRollouts)},
+		{resource: Zones, kind: kinds.DrainedZones, timeout: watchTimeout, limit: limits.Zones, list: f.listAll(Zones, kinds.DrainedZones, f.replaceZones)},
+		{resource: Rollouts, kind: kinds.Rollouts, timeout: watchTimeout, limit: limits.Rollouts, list: f.listAll(Rollouts, kinds.Rollouts, f.replaceRollouts)},
 	} {
 		if w.limit == 0 {
 			continue
@@ -218,8 +218,7 @@
 	}
 	adaptive.Succeed(f.opts.Now().Sub(start))
 	f.callSucceeded()
-	list.replace(start)
-	if known, _ := f.opts.State.Version(w.resource); w.resource == Configuration || list.version >= known {
+	if list.replace(start) {
 		f.opts.State.RecordListing(start, w.resource)
 	}
 	return list.version, nil
--- a/internal/platformstate/refresh.go
+++ b/internal/platformstate/refresh.go
@@ -24,6 +24,9 @@
 	firstRelistShare = 0.5
 	lastRelistShare  = 0.85
 	rankDelayShare   = 0.25
+	// laterRankDelay is how much longer each further rank waits than that while it hears others: if
+	// all of hundreds of instances listed at once, the platform couldn't answer any of them in time.
+	laterRankDelay = 20 * time.Millisecond
 	// serversRelistAge limits the first age for servers, as engines give a shutdown notice of
 	// one and a half seconds.
 	serversRelistAge = 1500 * time.Millisecond
@@ -141,7 +144,11 @@
 	}
 	after := maxAge + time.Duration(rank)*scale(w.limit, rankDelayShare)
 	if !unreachable || watching {
-		after = min(after, scale(w.limit, lastRelistShare))
+		latest := scale(w.limit, lastRelistShare)
+		if rank >= watcherCount && f.opts.State.HeardOthers(now) {
+			latest += time.Duration(rank-watcherCount) * laterRankDelay
+		}
+		after = min(after, latest)
 	}
 	return now.Sub(listedAt) >= after
 }
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -74,7 +74,8 @@
 	return true
 }
 
-// ReplaceServers applies a complete list as of a version.
+// ReplaceServers applies a complete list as of a version, and reports false if it is too old to be
+// compared with the state.
 func (s *State) ReplaceServers(now time.Time, version int64, list []dialect.Server) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,7 +84,7 @@
 
 func (s *State) replaceServers(now time.Time, version int64, list []dialect.Server) bool {
 	if version < s.versions[Servers] {
-		return false
+		return s.mergeOlderList(now, version, list)
 	}
 	first := s.versions[Servers] == 0
 	s.confirm(now, Servers)
@@ -117,6 +118,38 @@
 	return true
 }
 
+// mergeOlderList applies a list to a state that has changed since the list began, except for the
+// servers that have changed since. A list of thousands of servers takes longer than it takes until one
+// of them changes, and would otherwise never count.
+func (s *State) mergeOlderList(now time.Time, version int64, list []dialect.Server) bool {
+	if version < s.logFrom || slices.ContainsFunc(s.missingRanges, func(r missingRange) bool { return r.to > version }) {
+		return false
+	}
+	s.confirm(now, Servers)
+	skipped := make(map[string]bool, len(list))
+	for _, l := range s.log {
+		if l.version > version {
+			skipped[l.id] = true
+		}
+	}
+	current := s.versions[Servers]
+	for i := range list {
+		if id := list[i].ID; !skipped[id] {
+			skipped[id] = true
+			s.apply(now, current, Change{ID: id, Server: &list[i]})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		if !skipped[id] {
+			s.apply(now, current, Change{ID: id})
+		}
+	}
+	if len(s.touched) > 0 {
+		s.publish()
+	}
+	return true
+}
+
 // apply applies one change and logs it if it changes the listed entry.
 func (s *State) apply(now time.Time, version int64, c Change) {
 	known, ok := s.servers[c.ID]
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -103,6 +103,8 @@
 	// contact is when the platform last answered any known instance, failedAt when it last
 	// failed to answer this one.
 	contact, failedAt time.Time
+	// heardAt is when another instance last sent its versions.
+	heardAt time.Time
 	// names holds one copy of each name of a service, zone or software version.
 	names map[string]string
 	// log holds the changes of the servers after version logFrom.
--- a/internal/platformstate/update.go
+++ b/internal/platformstate/update.go
@@ -172,8 +172,19 @@
 	s.mergeVersions(now, &v)
 }
 
+// heardTTL is how long after a message of another instance this one counts as hearing others.
+const heardTTL = 2 * time.Second
+
+// HeardOthers reports whether another instance has recently sent its versions.
+func (s *State) HeardOthers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.heardAt.IsZero() && now.Sub(s.heardAt) < heardTTL
+}
+
 // recordContactOf records when the platform last answered the other instance.
 func (s *State) recordContactOf(now time.Time, v *Versions) {
+	s.heardAt = now
 	for _, age := range []int64{v[Servers].ListedAge, v[Servers].ConfirmedAge} {
 		if age >= 0 {
 			s.recordContact(millisAgo(now, age))
--- a/internal/platformstate/update_test.go
+++ b/internal/platformstate/update_test.go
@@ -172,3 +172,38 @@
 	require.False(t, behind.Apply(start, &u))
 	require.Equal(t, s.ContentHash(Servers), behind.ContentHash(Servers))
 }
+
+// Guards against lists of a large fleet that never count, because a server changes while they are read:
+// then all instances would list. What the list shows and the watch has missed is applied.
+func TestListCountsWhileServersChange(t *testing.T) {
+	listed := func() []dialect.Server { return []dialect.Server{server("a"), server("b"), server("c")} }
+	tests := map[string]struct {
+		// changes arrive while a list as of version 10 is read.
+		changes []Change
+		list    func() []dialect.Server
+		want    []string
+	}{
+		"added meanwhile":         {[]Change{put("d", 0)}, listed, []string{"a", "b", "c", "d"}},
+		"removed meanwhile":       {[]Change{{ID: "a"}}, listed, []string{"b", "c"}},
+		"missed addition":         {[]Change{put("d", 0)}, func() []dialect.Server { return append(listed(), server("x")) }, []string{"a", "b", "c", "d", "x"}},
+		"missed removal":          {[]Change{put("d", 0)}, func() []dialect.Server { return listed()[1:] }, []string{"b", "c", "d"}},
+		"removed on a later page": {[]Change{{ID: "c"}}, func() []dialect.Server { return listed()[:2] }, []string{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			s.ReplaceServers(start, 10, listed())
+			require.True(t, s.ChangeServers(start, 10, 12, tt.changes))
+			require.True(t, s.ReplaceServers(start, 10, tt.list()))
+			require.Equal(t, tt.want, ids(s))
+			version, _ := s.Version(Servers)
+			require.EqualValues(t, 12, version)
+		})
+	}
+	t.Run("older than the log", func(t *testing.T) {
+		s := NewState()
+		s.ReplaceServers(start, 10, listed())
+		require.False(t, s.ReplaceServers(start, 9, nil))
+		require.Equal(t, []string{"a", "b", "c"}, ids(s))
+	})
+}
