Keep the event that is being written while a stream is read ahead

Cause: the bytes of an event are valid until the next one is read. The goroutine that reads ahead read the next one while the first was still being written, so that a caller could get other bytes in its place.

Change: the reader gives up its buffer before it goes on; the copy of each event is gone.

--- a/internal/eventstream/split.go
+++ b/internal/eventstream/split.go
@@ -13,7 +13,7 @@
 type RawEvent struct {
 	// ID is the event's ID; 0 if it has none or one that isn't a number.
 	ID int64
-	// Bytes is valid until the next call of [Splitter.Next].
+	// Bytes is valid until the next call of [Splitter.Next], unless [Splitter.Detach] is called before.
 	Bytes []byte
 }
 
@@ -29,6 +29,9 @@
 // NewSplitter returns a Splitter that reads from r.
 func NewSplitter(r io.Reader) *Splitter { return &Splitter{r: NewReader(r)} }
 
+// Detach keeps the bytes of the last event valid after the next call of Next.
+func (s *Splitter) Detach() { s.raw = nil }
+
 // Next returns the next complete event, io.EOF when the input ended between two events,
 // [ErrTruncated] when it ended within one, and the error of the input otherwise.
 func (s *Splitter) Next() (RawEvent, error) {
--- a/internal/ingress/read_ahead.go
+++ b/internal/ingress/read_ahead.go
@@ -82,9 +82,11 @@
 
 func (a *readAhead) run() {
 	defer close(a.done)
+	// The last event is still being written.
+	a.events.Detach()
 	for {
 		ev, err := a.events.Next()
-		ev.Bytes = append([]byte(nil), ev.Bytes...)
+		a.events.Detach()
 		if !a.push(readEvent{RawEvent: ev, err: err}) || err != nil {
 			return
 		}
