--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -438,8 +438,8 @@
 			}
 			var loops sync.WaitGroup
 			ctx, cancel := context.WithCancel(t.Context())
-			defer loops.Wait()
-			defer cancel()
+			stop := sync.OnceFunc(func() { cancel(); loops.Wait() })
+			defer stop()
 			for _, o := range running {
 				loops.Go(func() { o.broadcastLoop(ctx) })
 				o.updateSelf(time.Now())
@@ -454,12 +454,15 @@
 				}
 				return true
 			}, testTimeout, testTick)
-			broadcasts := int64(0)
-			for _, o := range running {
-				broadcasts += o.sequence.Load()
+			stop()
+			if dead == collectorCount {
+				return
 			}
-			if dead < collectorCount {
-				require.LessOrEqual(t, broadcasts, int64(n/2))
+			collector := fleet[0].table.Collectors(collectorCount)[dead].ID
+			for _, o := range running {
+				if _, failed := o.deliveries.backoff[collector]; o.self != collector && !failed {
+					require.Zero(t, o.sequence.Load(), "%s broadcast by itself", o.self)
+				}
 			}
 		})
 	}
--- a/internal/membership/select.go
+++ b/internal/membership/select.go
@@ -180,18 +180,15 @@
 	return []Record{*best}
 }
 
-// Collectors returns up to n instances that collect the changed records of all, in order of
-// preference: the first ones in an order by hash of those that run and don't leave.
+// Collectors returns up to n instances, maxOwners at most, that collect the changed records of all, in
+// order of preference: the first ones in an order by hash of those that run and don't leave.
 func (t *Table) Collectors(n int) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	const key = "collectors"
-	collectors, ok := t.cache.owners[key]
-	if !ok {
-		collectors = t.first(key, func(r *Record) bool { return !r.Down && !r.Leaving })
-		t.cache.owners[key] = collectors
+	if t.cache.collectors == nil {
+		t.cache.collectors = t.first("collectors", func(r *Record) bool { return !r.Down && !r.Leaving })
 	}
-	return collectors[:min(n, len(collectors))]
+	return t.cache.collectors[:min(n, len(t.cache.collectors))]
 }
 
 // maxOwners is the number of owners that are cached for each key.
@@ -201,7 +198,8 @@
 	return t.first(key, func(r *Record) bool { return r.Ready && !r.Down })
 }
 
-// first returns the first maxOwners of the matching instances in the order of a key.
+// first returns the first maxOwners of the matching instances in the order of a key (rendezvous
+// hashing).
 func (t *Table) first(key string, match func(r *Record) bool) []Record {
 	type owner struct {
 		record *Record
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -61,8 +61,9 @@
 
 // cache holds frequently requested results that depend only on the records.
 type cache struct {
-	owners map[string][]Record
-	ranks  map[string]rankResult
+	owners     map[string][]Record
+	collectors []Record
+	ranks      map[string]rankResult
 	// shareRanks holds the ranks of this instance among all known ones.
 	shareRanks map[string]int
 	children   map[string][]Record
