Count no reservation of memory that is refused

Cause: a reservation that didn't fit was added and taken back, so that for a moment more than the limit was counted, and a request beside it could be refused for that.

Change: compare and swap.

--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -44,11 +44,15 @@
 }
 
 func (m *memoryBudget) reserveWithin(n int, limit int64) bool {
-	if m.held.Add(int64(n)) > limit {
-		m.held.Add(-int64(n))
-		return false
+	for {
+		held := m.held.Load()
+		if held+int64(n) > limit {
+			return false
+		}
+		if m.held.CompareAndSwap(held, held+int64(n)) {
+			return true
+		}
 	}
-	return true
 }
 
 // Release ends a reservation.
