--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -67,9 +67,10 @@
 
 // snapshot returns a compressed snapshot of the platform state without the configuration,
 // and its age.
-func (p *compressedCache) snapshot(now time.Time, state *platformstate.State) ([]byte, time.Duration, error) {
+func (p *compressedCache) snapshot(clock func() time.Time, state *platformstate.State) ([]byte, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := clock()
 	if age := now.Sub(p.at); p.data != nil && age >= 0 && now.Before(p.until) {
 		return p.data, age, nil
 	}
@@ -77,7 +78,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	p.at, p.until, p.data = now, now.Add(snapshotTTL), data
+	// Those that have waited for it get it too, however long it took.
+	p.at, p.until, p.data = now, clock().Add(snapshotTTL), data
 	return p.data, 0, nil
 }
 
@@ -155,7 +157,7 @@
 
 func (g *Gossip) serveSnapshot(w http.ResponseWriter, r *http.Request) {
 	g.serveCompressed(w, r, snapshotProcedure, func() ([]byte, time.Duration, error) {
-		return g.snapshotCache.snapshot(g.opts.Now(), g.opts.State)
+		return g.snapshotCache.snapshot(g.opts.Now, g.opts.State)
 	})
 }
 
