Log when an instance's links to all backend servers are lost

No log line or metric said whether an instance reaches any server: dials that succeed weren't logged, and a failed attempt names one server. The dialer of backend servers becomes a package of its own, serverdial, with what dials say in serverlink.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	reqcodec "github.com/cloudwego/hertz/pkg/protocol/http1/req"
@@ -50,6 +51,20 @@
 	MaxIdle int
 	// MaxResponseBytes limits a response that isn't streamed; 8 MiB by default.
 	MaxResponseBytes int
+	// Dial opens connections; [DialTCP] by default.
+	Dial DialFunc
+}
+
+// DialFunc opens a connection to address, host:port, within timeout.
+type DialFunc func(ctx context.Context, address string, timeout time.Duration) (network.Conn, error)
+
+// DialTCP is the default [DialFunc]. Cancelling ctx doesn't interrupt it.
+func DialTCP(_ context.Context, address string, timeout time.Duration) (network.Conn, error) {
+	conn, err := standard.NewDialer().DialConnection("tcp", address, timeout, nil)
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
 }
 
 func (o Options) withDefaults() Options {
@@ -68,6 +83,9 @@
 	if o.MaxResponseBytes <= 0 {
 		o.MaxResponseBytes = 8 << 20
 	}
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
 	return o
 }
 
@@ -138,7 +156,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = max(min(timeout, deadline.Sub(now)), time.Millisecond)
 	}
-	conn, err := standard.NewDialer().DialConnection("tcp", address, timeout, nil)
+	conn, err := c.opts.Dial(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -40,6 +40,7 @@
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/handover"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/lengthpeer"
 	"pollenspindle.example/pollenspindle/internal/outlierpeer"
 	"pollenspindle.example/pollenspindle/internal/pace"
@@ -81,10 +82,12 @@
 	Ready     net.Listener
 	Directory net.Listener
 	Zone      string
-	State     *platformstate.State
-	Dialect   dialect.Dialect
-	Balancer  *balancer.Balancer
-	Retries   *retry.Budgets
+	// Dial opens connections to backend servers; nil for plain TCP.
+	Dial     httpclient.DialFunc
+	State    *platformstate.State
+	Dialect  dialect.Dialect
+	Balancer *balancer.Balancer
+	Retries  *retry.Budgets
 	// Instances returns the number of instances that share common limits.
 	Instances func() int
 	// Addresses returns the instances for callers in an availability zone.
@@ -165,7 +168,7 @@
 		streams: newActiveStreams(), streamBegan: make(chan struct{}, 1), log: opts.Log, startedAt: opts.Now(),
 		invalidLoads: opts.Log.Sample(&zerolog.BurstSampler{Burst: 1, Period: invalidLoadInterval}),
 	}
-	s.upstream = upstream.New(s.memory)
+	s.upstream = upstream.New(s.memory, opts.Dial)
 	for _, name := range opts.Dialect.Fields.Internal {
 		s.internalFields[strings.ToLower(name)] = true
 	}
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -27,6 +27,8 @@
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rollout"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
+	"pollenspindle.example/pollenspindle/internal/serverdial"
+	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
 )
@@ -202,8 +204,12 @@
 		}
 		listeners[i] = l
 	}
+	dialer := serverdial.New(serverdial.Options{
+		Links: serverlink.NewLinks(), Direct: in.opts.Dial, Log: telemetry.ComponentLogger(in.tel.Log, "dial"),
+		Scope: in.tel.Metrics.SubScope("dial"), Now: time.Now,
+	})
 	server, err := ingress.NewServer(ingress.Options{
-		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone,
+		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone, Dial: dialer.Dial,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
 		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Suspects: in.suspects, Limits: in.limits, Pauses: in.pauses, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -23,6 +23,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/gossip"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/ingress"
 	"pollenspindle.example/pollenspindle/internal/lengthpeer"
 	"pollenspindle.example/pollenspindle/internal/membership"
@@ -93,6 +94,8 @@
 	Path    string
 	Dialect dialect.Dialect
 	Streams *iostreams.IOStreams
+	// Dial opens connections to backend servers over the instance's own link; nil for plain TCP.
+	Dial httpclient.DialFunc
 }
 
 // instance is a running instance.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c := upstream.New(memory)
+//	c := upstream.New(memory, dialer.Dial)
 //	resp, err := c.Do(ctx, "10.0.0.7:8000", upstream.Request{...}, true)
 //	if errors.Is(err, httpclient.ErrNotSent) { ... }
 //	defer resp.Close()
@@ -109,9 +109,11 @@
 	memory Memory
 }
 
-// New returns a client that holds bodies as far as there is memory.
-func New(memory Memory) *Client {
-	return &Client{http: httpclient.New(httpclient.Options{DialTimeout: dialTimeout, WriteTimeout: writeTimeout}), memory: memory}
+// New returns a client that opens connections with dial, nil for plain TCP, and holds bodies as far
+// as there is memory.
+func New(memory Memory, dial httpclient.DialFunc) *Client {
+	opts := httpclient.Options{DialTimeout: dialTimeout, WriteTimeout: writeTimeout, Dial: dial}
+	return &Client{http: httpclient.New(opts), memory: memory}
 }
 
 // Close closes the client.
