Failing test: instances without links to servers refuse requests

What callers see: an instance whose links to all backend servers hang, are reset or refuse new connections refuses every request for as long as that lasts, while other instances serve theirs. The test runs five instances, cuts off two or four, and counts first attempts of bookings, reads and generations from 3 s after.

The instances run as test/cutinstance, whose dials and open connections fail as a file says; the servers themselves and the other instances' links are sound.

--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// ResetOpenConnections resets the existing connections. New connections are not affected.
+func (p *Proxy) ResetOpenConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.open {
+		l.reset()
+	}
+}
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() error {
 	err := p.listener.Close()
@@ -212,6 +221,15 @@
 	return l.silent || (response && l.responsesDropped)
 }
 
+func (l *link) reset() {
+	for _, c := range []net.Conn{l.down, l.up} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	l.close()
+}
+
 func (l *link) close() {
 	l.down.Close()
 	l.up.Close()
--- a/test/process/process.go
+++ b/test/process/process.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return "", err
 	}
-	cmd := exec.CommandContext(context.Background(), "go", "build", "-o", dir, "./cmd/...", "./examples/...")
+	cmd := exec.CommandContext(context.Background(), "go", "build", "-o", dir, "./cmd/...", "./examples/...", "./test/cutinstance")
 	cmd.Dir = ModuleRoot()
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return string(out), err
