Keep brittle servers from rejecting more requests than they bear

What callers saw: a service whose servers say that they are brittle fell over under bursts of callers, and failed the requests that it held.

Cause: the field in which servers say so was read by nobody. An instance sends up to its share of three times a server's slots, relies on the server to let the rest wait, and after a rejection excludes the server for that one request.

Instances now share a brittle server's slots, as far as there are enough, and the first in its order may send one request each beyond, as many as it may reject. A server that has rejected a request gets a pause, so long that one rejection by each instance in that time is what it bears. Requests wait here for room for as long as their callers would be told to wait, 0.4 s.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -154,6 +154,8 @@
 	share func(now time.Time, server string) pushback.Share
 	// pauses, if set, holds until when servers want no request from this instance.
 	pauses *pushback.Pauses
+	// brittle, if set, holds the servers that crash if they reject many requests.
+	brittle *pushback.Brittle
 	// pace, if set, returns the pace of an engine relative to others.
 	pace func(now time.Time, server *platformstate.Server) pace.Relative
 	// handoverNotice, if set, returns for how long engines run after their notice.
@@ -173,9 +175,10 @@
 func (b *Balancer) Pick(now time.Time, r Request, servers []*platformstate.Server) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	choice := b.pick(now, r, b.sample(r, servers))
+	last := b.lastBrittle(now, r, servers)
+	choice := b.pick(now, r, b.sample(r, servers), last)
 	if _, ok := choice.(Picked); !ok && len(servers) > compareAllLimit {
-		choice = b.pick(now, r, servers)
+		choice = b.pick(now, r, servers, last)
 	}
 	if picked, ok := choice.(Picked); ok {
 		b.addLoad(now, picked.Placement)
@@ -235,8 +238,9 @@
 	}
 }
 
-// pick chooses the server with the lowest score.
-func (b *Balancer) pick(now time.Time, r Request, servers []*platformstate.Server) Choice {
+// pick chooses the server with the lowest score. last is the server for an instance without a share of
+// any brittle server.
+func (b *Balancer) pick(now time.Time, r Request, servers []*platformstate.Server, last string) Choice {
 	best, bestScore := -1, math.Inf(1)
 	usable, limited, unsuited := 0, 0, 0
 	var pausedUntil time.Time
@@ -257,7 +261,7 @@
 		}
 		usable++
 		load := b.utilization(now, r, s)
-		if load > requestLimit(r) || b.ownRunning(s.ID) >= ownLimit(r, s) {
+		if load > requestLimit(r) || b.ownRunning(s.ID) >= min(ownLimit(r, s), b.brittleLimit(now, r, s, last)) {
 			continue
 		}
 		score := b.score(now, r, s, load)
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -20,10 +20,7 @@
 	if !now.Before(s.ColdUntil) || r.Service.ColdRequestsPerSecond <= 0 {
 		return true
 	}
-	share := pushback.Share{Instances: r.Instances, Known: true}
-	if b.share != nil {
-		share = b.share(now, s.ID)
-	}
+	share := b.shareOf(now, r, s.ID)
 	// A sliding window overlaps two counted windows, which may hold half of the limit each.
 	perWindow := max(1, int((r.Service.ColdRequestsPerSecond*b.coldLimits.ColdOverage+b.coldLimits.ColdSlack)/2))
 	holders := max(1, min(share.Instances, perWindow))
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -46,6 +46,9 @@
 	NotExecuted string
 	// Instance names the backend server that responds.
 	Instance string
+	// Brittleness is the number of requests that a backend server can reject in a second for want of
+	// room without crashing.
+	Brittleness string
 	// RateLimit is the number of requests per second that a backend server takes from all instances.
 	RateLimit string
 	// Leaving is set in all responses of a backend server that is leaving.
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -78,6 +78,8 @@
 	possibleRuns int
 	// sentAt is when the current attempt began.
 	sentAt time.Time
+	// roomUntil is until when the request waits for room on brittle servers.
+	roomUntil time.Time
 	// resuming is set when a stream is resumed.
 	resuming bool
 	// lastResponse is the last failure response of a server, used if no attempt succeeds.
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -34,10 +34,14 @@
 	case errors.Is(err, planner.ErrCallerGone):
 		return balancer.Placement{}, callerGoneFailure()
 	}
-	choice := s.opts.Balancer.Pick(now, balancer.Request{
-		Service: r.service, Zone: s.opts.Zone, Tokens: r.promptTokens + r.expectedOutput, PromptTokens: r.promptTokens, Excluded: t.excluded, Instances: s.opts.Instances(),
-		Retryable: r.route.Repeatable(), ExpectedEvents: r.expectedEvents(), Target: r.route.TargetLatency, HandoverTokens: s.handoverTokens(r),
-	}, s.opts.State.Servers(r.service.Name))
+	choice := s.pickServer(now, r, t)
+	for {
+		if _, full := choice.(balancer.Full); !full || !s.awaitRoom(ctx, r, t) {
+			break
+		}
+		now = s.opts.Now()
+		choice = s.pickServer(now, r, t)
+	}
 	switch choice := choice.(type) {
 	case balancer.Picked:
 		s.log.Info().Str("request", r.id).Str("server", choice.Placement.Server.ID).Str("zone", choice.Placement.Server.Zone).
@@ -56,6 +60,13 @@
 	return balancer.Placement{}, f
 }
 
+func (s *Server) pickServer(now time.Time, r *request, t *attempts) balancer.Choice {
+	return s.opts.Balancer.Pick(now, balancer.Request{
+		Service: r.service, Zone: s.opts.Zone, Tokens: r.promptTokens + r.expectedOutput, PromptTokens: r.promptTokens, Excluded: t.excluded, Instances: s.opts.Instances(),
+		Retryable: r.route.Repeatable(), ExpectedEvents: r.expectedEvents(), Target: r.route.TargetLatency, HandoverTokens: s.handoverTokens(r),
+	}, s.opts.State.Servers(r.service.Name))
+}
+
 // placeOnCanary chooses a canary server for the first attempt of a request that is sampled for the
 // rollout. A second attempt goes to the version that is known to be good.
 func (s *Server) placeOnCanary(now time.Time, r *request, t *attempts) (balancer.Placement, bool) {
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -23,6 +23,7 @@
 	if err == nil && s.isFrom(place.Server, r, response) {
 		s.recordLimit(sentAt, place.Server, response)
 		s.recordPause(place.Server, response)
+		s.recordBrittleness(place.Server, response)
 		s.recordLeaving(place.Server, response)
 		s.recordServerLoad(place.Server, response)
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -116,6 +116,8 @@
 	Limits *pushback.Limits
 	// Pauses holds until when backend servers want no request from this instance.
 	Pauses *pushback.Pauses
+	// Brittle holds the backend servers that crash if they reject many requests; nil for none.
+	Brittle *pushback.Brittle
 	// DenyMaxAge is the maximum age of the last confirmation of the configuration with which a
 	// request may be denied; 0 for the default.
 	DenyMaxAge time.Duration
@@ -161,6 +163,8 @@
 	draining  atomic.Bool
 	drainedAt atomic.Int64
 	running   atomic.Int64
+	// roomWaiters counts the requests that wait for room on brittle servers.
+	roomWaiters atomic.Int64
 }
 
 // NewServer returns a server that is ready to run.
@@ -180,6 +184,9 @@
 	if s.opts.LinksLost == nil {
 		s.opts.LinksLost = func() bool { return false }
 	}
+	if s.opts.Brittle == nil {
+		s.opts.Brittle = pushback.NewBrittle()
+	}
 	if s.opts.DenyMaxAge == 0 {
 		s.opts.DenyMaxAge = denyMaxAge
 	}
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -55,6 +55,8 @@
 	lb.SetShare(in.share)
 	in.pauses = pushback.NewPauses()
 	lb.SetPauses(in.pauses)
+	in.brittle = pushback.NewBrittle()
+	lb.SetBrittle(in.brittle)
 	key, err := peer.NewKey(cfg.PeerKey)
 	if err != nil {
 		return err
@@ -225,7 +227,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone, Dial: in.dialer.Dial, LinksLost: in.linksLost,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Suspects: in.suspects, Limits: in.limits, Pauses: in.pauses, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
+		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Suspects: in.suspects, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
 		MemoryBytes: int64(cfg.MemoryMegabytes) << 20, DetectSilence: cfg.DetectSilence,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -121,6 +121,7 @@
 	suspects   *ingress.Suspects
 	limits     *pushback.Limits
 	pauses     *pushback.Pauses
+	brittle    *pushback.Brittle
 	links      *serverlink.Links
 	dialer     *serverdial.Dialer
 	dialPeer   *dialpeer.Peer
