Leave streams on engines that may only be silent for a moment

What callers saw: an engine that sends nothing for 1.5 s and goes on cost each of its streams that can't be resumed (3 of 3), and ran each resumable one (3 of 3) beside the engine that it was moved to for more than 0.4 s.

Cause: an engine whose load report isn't answered within 0.3 s was taken for lost, some 0.7 s after the last event. The call to stop the generation was given up after 0.4 s; the engine read it when it went on, and stopped the generation for nobody. A resumable stream was requested elsewhere while the engine hadn't yet seen its closed connection.

The stream now waits until no report is answered for 1.8 s, at most three quarters of the time after which its caller leaves. New requests avoid the engine at once, as before. An engine that answers, or whose other streams get events, is treated as before.

TestStreamsOutlastSilentEngine failed before for 1.5 s, on both kinds of routes.

--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -107,6 +107,10 @@
 		suspected[incarnationOf(server)] = true
 		d.complete(now, st, server, heard, &p)
 		switch step := silence.Next(now, p).(type) {
+		case silence.Avoid:
+			if st.avoidEngine(server.ID) {
+				d.s.opts.Balancer.RecordFailure(now, server.ID)
+			}
 		case silence.Probe:
 			d.probe(ctx, server)
 		case silence.Move:
--- a/internal/ingress/silent_stream.go
+++ b/internal/ingress/silent_stream.go
@@ -22,6 +22,8 @@
 	suspected bool
 	// confirmed is set once a move from the present engine was decided, and its failure recorded.
 	confirmed bool
+	// avoided is set once the present engine has been recorded as failing for new requests.
+	avoided   bool
 	stop      silence.Stop
 	stoppedAt time.Time
 	// broken is set when the read or the request for the rest was interrupted; moved is set with it
@@ -71,6 +73,15 @@
 	return first
 }
 
+// avoidEngine reports whether it is new that requests are to avoid the stream's present engine.
+func (a *activeStream) avoidEngine(server string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first := !a.silent.avoided && a.placement.Server.ID == server
+	a.silent.avoided = a.silent.avoided || first
+	return first
+}
+
 // silenceConfirmed reports whether a move from the present engine was decided: a failure of the
 // engine has been recorded then.
 func (a *activeStream) silenceConfirmed() bool {
@@ -129,7 +140,7 @@
 
 // resumeSilent begins with another engine; the stream's mutex is held.
 func (a *activeStream) resumeSilent() {
-	a.silent.confirmed, a.silent.broken, a.silent.cutoverReady = false, false, false
+	a.silent.confirmed, a.silent.avoided, a.silent.broken, a.silent.cutoverReady = false, false, false, false
 	a.silent.stop, a.silent.stoppedAt = silence.StopNotAsked, time.Time{}
 }
 
@@ -142,7 +153,7 @@
 		a.silent.interval = interval
 	}
 	suspected, moved = a.silent.suspected, a.silent.moved
-	a.silent.suspected, a.silent.moved = false, false
+	a.silent.suspected, a.silent.moved, a.silent.avoided = false, false, false
 	return suspected, moved
 }
 
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -10,6 +10,7 @@
 //
 //	switch step := silence.Next(now, progress).(type) {
 //	case silence.Wait:
+//	case silence.Avoid:
 //	case silence.Probe:
 //	case silence.Move:
 //	case silence.GiveUp:
@@ -39,6 +40,11 @@
 	// stopRetryInterval is the time until an engine that didn't answer, or for which there was no
 	// target, is asked again to stop the generation.
 	stopRetryInterval = time.Second
+	// soundSilence is how long a sound engine may send nothing at all, for instance while its machine
+	// stands still; then it goes on with its generations. It is at most soundShare of the time after
+	// which the caller leaves.
+	soundSilence = 1800 * time.Millisecond
+	soundShare   = 0.75
 	// lostAfter is how long the last events of a generation that has ended may be in transit on a
 	// link that loses packets.
 	lostAfter = 2500 * time.Millisecond
@@ -105,12 +111,15 @@
 	StopNoTarget
 )
 
-// Step is [Wait], [Probe], [Move] or [GiveUp].
+// Step is [Wait], [Avoid], [Probe], [Move] or [GiveUp].
 type Step interface{ step() }
 
 // Wait leaves the stream as it is.
 type Wait struct{}
 
+// Avoid leaves the stream as it is; new requests avoid the engine, which answers nothing.
+type Avoid struct{}
+
 // Probe asks the engine for its load report.
 type Probe struct{}
 
@@ -139,6 +148,7 @@
 type GiveUp struct{}
 
 func (Wait) step()   {}
+func (Avoid) step()  {}
 func (Probe) step()  {}
 func (Move) step()   {}
 func (GiveUp) step() {}
@@ -169,6 +179,11 @@
 		return Probe{}
 	case p.Deaf && !p.Report.Answered:
 		return p.waitOrProbe(now)
+	case p.mayBeSound(now):
+		if now.Sub(p.ProbedAt) >= probeInterval {
+			return Probe{}
+		}
+		return Avoid{}
 	}
 	reason, lost := p.lost(now)
 	if !lost {
@@ -177,6 +192,19 @@
 	return p.nextOfLost(now, reason)
 }
 
+// mayBeSound reports whether the engine may go on by itself. It would then run the generation beside
+// another engine, or stop it when it reads a request that was given up.
+func (p Progress) mayBeSound(now time.Time) bool {
+	if p.Report.Answered || p.EngineHeard {
+		return false
+	}
+	limit := soundSilence
+	if p.LeavesAfter > 0 {
+		limit = min(limit, time.Duration(soundShare*float64(p.LeavesAfter)))
+	}
+	return now.Sub(p.Since) < limit
+}
+
 // waitOrProbe keeps waiting, with a new report from time to time.
 func (p Progress) waitOrProbe(now time.Time) Step {
 	if now.Sub(p.ProbedAt) >= probeInterval {
