Refuse requests at once while no instance reaches servers

While the links of all instances are lost, each request waited 0.4 s for each of up to four servers before it was refused. Now only the dials that find out whether a link works again take that long, one each 0.5 s for each server; the others fail at once.

--- a/internal/serverdial/serverdial.go
+++ b/internal/serverdial/serverdial.go
@@ -66,7 +66,10 @@
 	case serverlink.DirectFirst:
 		r.order = []path{ownLink, otherInstance, otherInstance, otherInstance}
 	case serverlink.RelayedFirst:
-		r.order, r.probe = []path{otherInstance, otherInstance, otherInstance, ownLink}, route.Probe
+		r.order, r.probe = []path{otherInstance, otherInstance, otherInstance}, route.Probe
+		if route.OwnLinkLast {
+			r.order = append(r.order, ownLink)
+		}
 	}
 	return r.run(ctx)
 }
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -64,6 +64,9 @@
 type RelayedFirst struct {
 	// Probe says that the own link is to be tried at the same time.
 	Probe bool
+	// OwnLinkLast says that the own link is to be tried if no other instance connects. If all links are
+	// lost, that would only delay the caller's refusal.
+	OwnLinkLast bool
 }
 
 // DirectOnly means that the server is down: other instances didn't reach it either.
@@ -134,7 +137,7 @@
 	if probe {
 		st.probedAt = now
 	}
-	return RelayedFirst{Probe: probe}
+	return RelayedFirst{Probe: probe, OwnLinkLast: !l.lost}
 }
 
 // Failing reports whether the own link to a server has failed a moment ago.
