--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -17,6 +17,7 @@
 	"pollenspindle.example/pollenspindle/internal/enginecommand"
 	"pollenspindle.example/pollenspindle/internal/fleet"
 	"pollenspindle.example/pollenspindle/internal/generation"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/instancelist"
 	"pollenspindle.example/pollenspindle/internal/journal"
 	"pollenspindle.example/pollenspindle/internal/member"
@@ -60,7 +61,7 @@
 	leaving chan struct{}
 }
 
-func newComponents(s settings.Settings, tel *telemetry.Telemetry) (*components, error) {
+func newComponents(s settings.Settings, tel *telemetry.Telemetry, direct httpclient.DialFunc) (*components, error) {
 	p := &components{settings: s, tel: tel, costs: controlcost.New(tel.Metrics.SubScope("control")), leaving: make(chan struct{}), journal: journal.New(journal.DefaultLimits)}
 	p.self = roster.Instance{
 		ID: s.Instance, Incarnation: uuid.NewString(), Region: s.Region, Zone: s.Zone,
@@ -69,8 +70,9 @@
 	p.objects = objectapi.NewClient(s.PlatformURL, objectapi.Options{OnCall: p.countCall})
 	p.store = config.NewStore(config.StoreOptions{Objects: p.objects, Log: telemetry.ComponentLogger(tel.Log, "config")})
 	p.claims = claim.NewStore(p.claimOptions())
-	p.engines = engine.NewClient(engine.Options{LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
-	p.services = service.NewClient(service.Options{LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
+	connections := httpclient.Options{Dial: direct}
+	p.engines = engine.NewClient(engine.Options{HTTP: connections, LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
+	p.services = service.NewClient(service.Options{HTTP: connections, LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
 	p.retries = retry.NewBudgets(rand.New(rand.NewPCG(seed(s, 3), 0)))
 	return p, p.newPeers()
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/caller"
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/operator"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
@@ -45,13 +46,19 @@
 // Run runs an entry instance until ctx ends and its streams have finished. Canceling ctx starts a
 // graceful shutdown and is not an error.
 func Run(ctx context.Context, s settings.Settings, streams *iostreams.IOStreams) error {
+	return RunWithDialer(ctx, s, streams, nil)
+}
+
+// RunWithDialer is [Run] with what opens connections to backend servers over the instance's own links;
+// nil for plain TCP.
+func RunWithDialer(ctx context.Context, s settings.Settings, streams *iostreams.IOStreams, direct httpclient.DialFunc) error {
 	tel, err := telemetry.New(telemetry.Options{Settings: s, Out: streams.Out, ErrOut: streams.Err})
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	telemetry.CaptureLibraries(tel.Log)
 	setGCPercent()
-	p, err := newComponents(s, tel)
+	p, err := newComponents(s, tel, direct)
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
--- a/test/cutinstance/main.go
+++ b/test/cutinstance/main.go
@@ -3,7 +3,8 @@
 //
 // # Usage
 //
-//	cutinstance --settings ingress.jsonc --links links.txt
+//	cutinstance ingress --settings ingress.jsonc --links links.txt
+//	cutinstance serve --settings entry-1.jsonc --links links.txt
 package main
 
 import (
@@ -16,6 +17,7 @@
 	"github.com/alecthomas/kong"
 
 	"pollenspindle.example/pollenspindle/internal/ingressserve"
+	"pollenspindle.example/pollenspindle/internal/serve"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/pkg/iostreams"
 	"pollenspindle.example/pollenspindle/platform"
@@ -28,33 +30,47 @@
 )
 
 type options struct {
-	Settings string `help:"Settings file of the instance." required:""`
-	Links    string `help:"File with the state of the links." required:""`
+	Ingress  struct{} `cmd:"" help:"Run an instance that routes requests by host and path."`
+	Serve    struct{} `cmd:"" help:"Run an instance of the product's own interface."`
+	Settings string   `help:"Settings file of the instance." required:""`
+	Links    string   `help:"File with the state of the links." required:""`
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	var o options
-	kong.Parse(&o)
+	command := kong.Parse(&o).Command()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	links := linkfault.New()
+	go links.Follow(context.WithoutCancel(ctx), o.Links)
 	streams := iostreams.System()
-	if err := serve(ctx, o, streams); err != nil {
+	runInstance := runIngress
+	if command == "serve" {
+		runInstance = runServe
+	}
+	if err := runInstance(ctx, o.Settings, streams, links); err != nil {
 		fmt.Fprintln(streams.Err, err)
 		return exitError
 	}
 	return exitOK
 }
 
-func serve(ctx context.Context, o options, streams *iostreams.IOStreams) error {
-	s, err := settings.LoadIngress(o.Settings)
+func runIngress(ctx context.Context, path string, streams *iostreams.IOStreams, links *linkfault.Links) error {
+	s, err := settings.LoadIngress(path)
 	if err != nil {
 		return err
 	}
-	links := linkfault.New()
-	go links.Follow(context.WithoutCancel(ctx), o.Links)
 	return ingressserve.Run(ctx, ingressserve.Options{
-		Settings: s, Path: o.Settings, Dialect: platform.Dialect(), Streams: streams, Dial: links.Dial,
+		Settings: s, Path: path, Dialect: platform.Dialect(), Streams: streams, Dial: links.Dial,
 	})
 }
+
+func runServe(ctx context.Context, path string, streams *iostreams.IOStreams, links *linkfault.Links) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	return serve.RunWithDialer(ctx, s, streams, links.Dial)
+}
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -35,6 +35,7 @@
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/pkg/pollenspindle"
 	"pollenspindle.example/pollenspindle/test/faultproxy"
+	"pollenspindle.example/pollenspindle/test/linkfault"
 	"pollenspindle.example/pollenspindle/test/process"
 )
 
@@ -62,6 +63,8 @@
 	// those of the backend server with that name.
 	EngineArgs, ServiceArgs []string
 	ServerArgs              map[string][]string
+	// LinkFaults lets [System.SetLinks] cut the links of single instances to all backend servers.
+	LinkFaults bool
 	// Settings modifies the settings of each instance before it starts.
 	Settings func(s *settings.Settings)
 	// Config modifies the configuration before it is applied.
@@ -253,9 +256,21 @@
 }
 
 func (s *System) startInstance(in *Instance) {
+	if s.opts.LinkFaults {
+		in.Process = process.Start(s.t, filepath.Join(s.bin, "cutinstance"), "serve", "--settings", in.SettingsFile, "--links", in.linksFile())
+		return
+	}
 	in.Process = process.Start(s.t, filepath.Join(s.bin, "pollenspindle"), "serve", "--settings", in.SettingsFile)
 }
 
+func (in *Instance) linksFile() string { return in.SettingsFile + ".links" }
+
+// SetLinks sets the state of an instance's links to all backend servers.
+func (s *System) SetLinks(t testing.TB, in *Instance, m linkfault.Mode) {
+	t.Helper()
+	require.NoError(t, linkfault.Set(in.linksFile(), m))
+}
+
 // RestartInstance restarts the process of an instance with the same name and addresses and no
 // retained state.
 func (s *System) RestartInstance(t testing.TB, in *Instance) {
