Open connections through other instances on the own interface, too

What callers saw: an instance of the product's own interface whose links to all backend servers hang or are reset served none of 12 generations, while another served all that the servers took.

Cause: the clients of engines and services dialed over the instance's own link alone, as on the users' path before. They now use the same dialer, so that load reports of the servers that the instance owns take the same way. The peer listener accepts HTTP/1.1 for the upgrade, and a leaving instance waits for the connections of others as it does for its callers.

--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	p := dialpeer.New(dialpeer.Options{Table: table, Key: key, Links: links, Direct: dialer.DialDirect, ...})
+//	p := dialpeer.New(dialpeer.Options{Relays: relays, Key: key, Links: links, Direct: dialer.DialDirect, ...})
 //	mux.Handle(dialpeer.Path, p)
 //	conn, err := p.Dial(ctx, relays[0], "10.0.0.7:8000", timeout)
 //	...
@@ -39,7 +39,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"pollenspindle.example/pollenspindle/internal/httpclient"
-	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 )
@@ -75,12 +74,21 @@
 	ErrPeer = merry.Sentinel("another instance opens no connections")
 )
 
+// Instance is another instance.
+type Instance struct {
+	ID string
+	// Address is where it serves other instances, host:port.
+	Address string
+}
+
 // Options configures a [Peer].
 type Options struct {
-	Self  string
-	Table *membership.Table
-	Key   peer.Key
-	Links *serverlink.Links
+	Self string
+	Key  peer.Key
+	// Relays returns up to n random other instances that may reach backend servers, without those that
+	// exclude reports.
+	Relays func(rng *rand.Rand, n int, exclude func(id string) bool) []Instance
+	Links  *serverlink.Links
 	// Direct dials a server over this instance's own link.
 	Direct httpclient.DialFunc
 	Log    zerolog.Logger
@@ -110,11 +118,11 @@
 // Relays returns up to n instances that may open a connection, in the order in which they are asked:
 // of each two drawn at random the one with fewer connections of this instance, so that they spread
 // over all instances that reach servers.
-func (p *Peer) Relays(now time.Time, rng *rand.Rand, n int) []membership.Record {
-	candidates := p.opts.Table.Relays(rng, 2*n, func(id string) bool { return p.inBackoff(now, id) })
+func (p *Peer) Relays(now time.Time, rng *rand.Rand, n int) []Instance {
+	candidates := p.opts.Relays(rng, 2*n, func(id string) bool { return p.inBackoff(now, id) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []membership.Record
+	var out []Instance
 	for len(candidates) > 0 && len(out) < n {
 		first := candidates[0]
 		rest := candidates[1:]
@@ -136,7 +144,7 @@
 }
 
 // Dial opens a connection to a server through another instance.
-func (p *Peer) Dial(ctx context.Context, through membership.Record, address string, timeout time.Duration) (network.Conn, error) {
+func (p *Peer) Dial(ctx context.Context, through Instance, address string, timeout time.Duration) (network.Conn, error) {
 	conn, err := p.dial(ctx, through, address, timeout)
 	outcome := "connected"
 	if err != nil {
@@ -156,9 +164,9 @@
 	p.backoffUntil[id] = p.opts.Now().Add(peerBackoff)
 }
 
-func (p *Peer) dial(ctx context.Context, through membership.Record, address string, timeout time.Duration) (network.Conn, error) {
+func (p *Peer) dial(ctx context.Context, through Instance, address string, timeout time.Duration) (network.Conn, error) {
 	deadline := p.opts.Now().Add(timeout)
-	conn, err := httpclient.DialTCP(ctx, through.Peer, timeout)
+	conn, err := httpclient.DialTCP(ctx, through.Address, timeout)
 	if err != nil {
 		return nil, merry.Wrap(ErrPeer, merry.WithCause(err))
 	}
@@ -180,13 +188,13 @@
 }
 
 // requestOpen asks the instance at the other end to open a connection to a server.
-func (p *Peer) requestOpen(conn network.Conn, through membership.Record, address string, timeout time.Duration) error {
+func (p *Peer) requestOpen(conn network.Conn, through Instance, address string, timeout time.Duration) error {
 	timeout = max(timeout, minOpenTimeout)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod(http.MethodGet)
-	req.Header.SetHost(through.Peer)
+	req.Header.SetHost(through.Address)
 	req.SetRequestURI(Path)
 	for name, value := range map[string]string{
 		"Connection": "Upgrade", "Upgrade": protocolName, addressHeader: address,
--- a/internal/dialpeer/dialpeer_test.go
+++ b/internal/dialpeer/dialpeer_test.go
@@ -21,7 +21,6 @@
 
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
-	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 )
@@ -34,7 +33,7 @@
 	require.NoError(t, err)
 	links := serverlink.NewLinks()
 	p := dialpeer.New(dialpeer.Options{
-		Self: id, Table: membership.NewTable(membership.Record{ID: id}), Key: key, Links: links, Direct: httpclient.DialTCP,
+		Self: id, Key: key, Links: links, Direct: httpclient.DialTCP,
 		Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now,
 	})
 	t.Cleanup(p.Close)
@@ -42,13 +41,13 @@
 }
 
 // serve serves a peer and returns its record.
-func serve(t *testing.T, p *dialpeer.Peer) membership.Record {
+func serve(t *testing.T, p *dialpeer.Peer) dialpeer.Instance {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(dialpeer.Path, p)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return membership.Record{ID: "relay", Peer: strings.TrimPrefix(server.URL, "http://")}
+	return dialpeer.Instance{ID: "relay", Address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 // listen accepts connections, and returns the address and the number of accepted ones.
@@ -72,7 +71,7 @@
 }
 
 // exchange sends a request through the relay and returns the body of the response.
-func exchange(t *testing.T, p *dialpeer.Peer, through membership.Record, address string) (string, error) {
+func exchange(t *testing.T, p *dialpeer.Peer, through dialpeer.Instance, address string) (string, error) {
 	t.Helper()
 	client := httpclient.New(httpclient.Options{Dial: func(ctx context.Context, address string, timeout time.Duration) (network.Conn, error) {
 		return p.Dial(ctx, through, address, timeout)
@@ -181,7 +180,7 @@
 	address, accepted := listen(t, func(*net.TCPConn) {})
 	relay, _ := newPeer(t, "relay")
 	through := serve(t, relay)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+through.Peer+dialpeer.Path, nil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+through.Address+dialpeer.Path, nil)
 	require.NoError(t, err)
 	req.Header.Set("Server-Address", address)
 	req.Header.Set("Dial-Timeout-Ms", "100")
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -115,11 +115,20 @@
 	in.links = serverlink.NewLinks()
 	in.dialer = serverdial.New(serverdial.Options{Links: in.links, Direct: in.opts.Dial, Log: log, Scope: scope, Now: time.Now})
 	in.dialPeer = dialpeer.New(dialpeer.Options{
-		Self: in.cfg.Instance, Table: in.table, Key: key, Links: in.links, Direct: in.dialer.DialDirect, Log: log, Scope: scope, Now: time.Now,
+		Self: in.cfg.Instance, Relays: in.relays, Key: key, Links: in.links, Direct: in.dialer.DialDirect, Log: log, Scope: scope, Now: time.Now,
 	})
 	in.dialer.SetPeers(in.dialPeer)
 }
 
+// relays returns other instances that may open connections to backend servers.
+func (in *instance) relays(rng *rand.Rand, n int, exclude func(id string) bool) []dialpeer.Instance {
+	var out []dialpeer.Instance
+	for _, r := range in.table.Relays(rng, n, exclude) {
+		out = append(out, dialpeer.Instance{ID: r.ID, Address: r.Peer})
+	}
+	return out
+}
+
 // linksLost reports whether this instance's own links to all backend servers are lost.
 func (in *instance) linksLost() bool { return in.links.Status().Lost }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -42,7 +42,7 @@
 		scope:   scope,
 		http: &http.Server{
 			Handler:           withoutDate(mux),
-			Protocols:         protocols(),
+			Protocols:         serverProtocols(),
 			HTTP2:             serverHTTP2Config(),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       serverIdleTimeout,
@@ -50,6 +50,16 @@
 	}
 }
 
+// Handle serves a path by a handler that authenticates its callers itself. Unlike the calls of the
+// service, requests may use HTTP/1.1, whose connections can be upgraded.
+func (s *Server) Handle(path string, handler http.Handler) { s.mux.Handle(path, handler) }
+
+func serverProtocols() *http.Protocols {
+	p := protocols()
+	p.SetHTTP1(true)
+	return p
+}
+
 // withoutDate omits the Date header from answers. It changes each second, so in the answer to a
 // heartbeat it would take more bytes than all other headers.
 func withoutDate(next http.Handler) http.Handler {
--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -13,6 +13,7 @@
 	"pollenspindle.example/pollenspindle/internal/claim"
 	"pollenspindle.example/pollenspindle/internal/config"
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/engine"
 	"pollenspindle.example/pollenspindle/internal/enginecommand"
 	"pollenspindle.example/pollenspindle/internal/fleet"
@@ -30,6 +31,8 @@
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/roster"
 	"pollenspindle.example/pollenspindle/internal/router"
+	"pollenspindle.example/pollenspindle/internal/serverdial"
+	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/service"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
@@ -43,6 +46,9 @@
 	objects    *objectapi.Client
 	store      *config.Store
 	claims     *claim.Store
+	links      *serverlink.Links
+	dialer     *serverdial.Dialer
+	dialPeer   *dialpeer.Peer
 	engines    *engine.Client
 	services   *service.Client
 	retries    *retry.Budgets
@@ -70,7 +76,8 @@
 	p.objects = objectapi.NewClient(s.PlatformURL, objectapi.Options{OnCall: p.countCall})
 	p.store = config.NewStore(config.StoreOptions{Objects: p.objects, Log: telemetry.ComponentLogger(tel.Log, "config")})
 	p.claims = claim.NewStore(p.claimOptions())
-	connections := httpclient.Options{Dial: direct}
+	p.buildDialer(direct)
+	connections := httpclient.Options{Dial: p.dialer.Dial}
 	p.engines = engine.NewClient(engine.Options{HTTP: connections, LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
 	p.services = service.NewClient(service.Options{HTTP: connections, LoadMeter: p.costs.Meter(controlcost.RoleLoadPolls)})
 	p.retries = retry.NewBudgets(rand.New(rand.NewPCG(seed(s, 3), 0)))
@@ -133,9 +140,35 @@
 		Seed:           seed(s, 2),
 	})
 	p.peerServer = peer.NewServer(p.members.Handler(p.owner), key, p.tel.Metrics.SubScope("peer"), peer.WithTracing(p.tel.Tracer), peer.WithMetering(p.costs))
+	p.dialPeer = dialpeer.New(dialpeer.Options{
+		Self: s.Instance, Relays: p.relays, Key: key, Links: p.links, Direct: p.dialer.DialDirect,
+		Log: telemetry.ComponentLogger(p.tel.Log, "dial"), Scope: p.tel.Metrics.SubScope("dial"), Now: time.Now,
+	})
+	p.dialer.SetPeers(p.dialPeer)
+	p.peerServer.Handle(dialpeer.Path, p.dialPeer)
 	return p.newFleet(pool)
 }
 
+// buildDialer creates what opens connections to backend servers.
+func (p *components) buildDialer(direct httpclient.DialFunc) {
+	p.links = serverlink.NewLinks()
+	p.dialer = serverdial.New(serverdial.Options{
+		Links: p.links, Direct: direct, Log: telemetry.ComponentLogger(p.tel.Log, "dial"), Scope: p.tel.Metrics.SubScope("dial"), Now: time.Now,
+	})
+}
+
+// relays returns other instances that may open connections to backend servers.
+func (p *components) relays(rng *rand.Rand, n int, exclude func(id string) bool) []dialpeer.Instance {
+	var out []dialpeer.Instance
+	for _, in := range p.members.Live() {
+		if in.ID != p.self.ID && !exclude(in.ID) {
+			out = append(out, dialpeer.Instance{ID: in.ID, Address: in.PeerAddress})
+		}
+	}
+	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
 // newFleet creates the components that query other instances and run engine commands for operators.
 func (p *components) newFleet(pool *peer.Pool) error {
 	codec, err := generation.NewCodec(decodeKey(p.settings.GenerationKey), p.acceptedGenerationKeys()...)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -142,16 +142,34 @@
 func (in *instance) leave(callers *caller.Server, operators *operator.Server) {
 	in.log.Info().Msg("instance leaves")
 	callers.Drain()
+	in.components.dialPeer.Drain()
 	in.components.members.Leave()
 	in.awaitLeavePropagated()
 	ctx, cancel := context.WithTimeout(context.Background(), in.shutdownTimeout())
 	defer cancel()
 	callers.Shutdown(ctx)
+	in.awaitRelayed(ctx)
 	if err := operators.Shutdown(ctx); err != nil {
 		in.log.Warn().Err(err).Msg("operators' listener was not shut down cleanly")
 	}
 }
 
+// awaitRelayed waits for the connections that other instances have to backend servers through this one.
+func (in *instance) awaitRelayed(ctx context.Context) {
+	p := in.components.dialPeer
+	defer p.Close()
+	ticker := time.NewTicker(leavePollInterval)
+	defer ticker.Stop()
+	for p.Relayed() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			in.log.Warn().Int("relayed", p.Relayed()).Msg("connections of other instances are closed")
+			return
+		}
+	}
+}
+
 // awaitLeavePropagated waits until no other instance lists this one in /v1/instances. Callers use a
 // response of /v1/instances until it expires; if its lifetime were counted from the shutdown
 // signal, the last of them could find the listener closed.
--- a/internal/serverdial/race.go
+++ b/internal/serverdial/race.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/network"
 
-	"pollenspindle.example/pollenspindle/internal/membership"
+	"pollenspindle.example/pollenspindle/internal/dialpeer"
 )
 
 // path is a way to a server.
@@ -42,7 +42,7 @@
 	probe bool
 
 	// relays are the instances that weren't asked yet; nil before they are chosen.
-	relays  []membership.Record
+	relays  []dialpeer.Instance
 	results chan dialed
 	pending int
 	// ownLinkTried says that the own link was dialed.
@@ -132,16 +132,16 @@
 }
 
 // nextRelay returns an instance that wasn't asked yet.
-func (r *race) nextRelay() (membership.Record, bool) {
+func (r *race) nextRelay() (dialpeer.Instance, bool) {
 	if r.d.opts.Peers == nil {
-		return membership.Record{}, false
+		return dialpeer.Instance{}, false
 	}
 	if r.relays == nil {
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		r.relays = append([]membership.Record{}, r.d.opts.Peers.Relays(r.d.opts.Now(), rng, maxRelays)...)
+		r.relays = append([]dialpeer.Instance{}, r.d.opts.Peers.Relays(r.d.opts.Now(), rng, maxRelays)...)
 	}
 	if len(r.relays) == 0 {
-		return membership.Record{}, false
+		return dialpeer.Instance{}, false
 	}
 	next := r.relays[0]
 	r.relays = r.relays[1:]
--- a/internal/serverdial/serverdial_test.go
+++ b/internal/serverdial/serverdial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,7 +19,6 @@
 
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
-	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/serverdial"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
@@ -42,14 +42,17 @@
 }
 
 // newInstance returns the dialer of an instance that dials with direct, its links, and its record.
-func newInstance(t *testing.T, id string, direct httpclient.DialFunc, table *membership.Table) (*serverdial.Dialer, *serverlink.Links, membership.Record) {
+func newInstance(t *testing.T, id string, direct httpclient.DialFunc, others []dialpeer.Instance) (*serverdial.Dialer, *serverlink.Links, dialpeer.Instance) {
 	t.Helper()
 	key, err := peer.NewKey("cG9sbGVuc3BpbmRsZS1wZWVyLWtleS0zMi1ieXRlcy4=")
 	require.NoError(t, err)
 	links := serverlink.NewLinks()
 	d := serverdial.New(serverdial.Options{Links: links, Direct: direct, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now})
 	p := dialpeer.New(dialpeer.Options{
-		Self: id, Table: table, Key: key, Links: links, Direct: d.DialDirect, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now,
+		Self: id, Key: key, Links: links, Direct: d.DialDirect, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now,
+		Relays: func(_ *rand.Rand, n int, _ func(string) bool) []dialpeer.Instance {
+			return others[:min(n, len(others))]
+		},
 	})
 	t.Cleanup(p.Close)
 	d.SetPeers(p)
@@ -57,8 +60,7 @@
 	mux.Handle(dialpeer.Path, p)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	record := membership.Record{ID: id, Peer: strings.TrimPrefix(server.URL, "http://"), Status: membership.Status{Ready: true}}
-	return d, links, record
+	return d, links, dialpeer.Instance{ID: id, Address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 func TestDial(t *testing.T) {
@@ -92,13 +94,12 @@
 			server, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer server.Close()
-			table := membership.NewTable(membership.Record{ID: "own"})
+			var others []dialpeer.Instance
 			for i, direct := range tt.others {
-				id := string(rune('a' + i))
-				_, _, record := newInstance(t, id, direct, membership.NewTable(membership.Record{ID: id}))
-				table.Merge(time.Now(), []membership.Record{record})
+				_, _, other := newInstance(t, string(rune('a'+i)), direct, nil)
+				others = append(others, other)
 			}
-			d, links, _ := newInstance(t, "own", tt.own, table)
+			d, links, _ := newInstance(t, "own", tt.own, others)
 			tt.before(links)
 			started := time.Now()
 			conn, err := d.Dial(t.Context(), server.Addr().String(), timeout)
@@ -113,7 +114,7 @@
 
 // Guards against callers that wait for dials that fail again and again while no instance reaches servers.
 func TestLostLinksFailAtOnce(t *testing.T) {
-	d, _, _ := newInstance(t, "own", hang, membership.NewTable(membership.Record{ID: "own"}))
+	d, _, _ := newInstance(t, "own", hang, nil)
 	for _, address := range []string{"10.0.0.7:8000", "10.0.0.8:8000"} {
 		_, err := d.Dial(t.Context(), address, timeout)
 		require.Error(t, err)
--- a/test/failure/server_links_test.go
+++ b/test/failure/server_links_test.go
@@ -25,7 +25,7 @@
 // own links to all servers are down.
 func TestInstanceWithoutServerLinksServes(t *testing.T) {
 	d := deployments["inyange"]
-	for _, mode := range []linkfault.Mode{linkfault.Hang, linkfault.Reset} {
+	for _, mode := range []linkfault.Mode{linkfault.Hang, linkfault.Reset, linkfault.Refuse} {
 		t.Run(string(mode), func(t *testing.T) {
 			s := start(t, system.Options{LinkFaults: true, EngineArgs: []string{"--cold-millis", "0"}, ServiceArgs: []string{"--cold-millis", "0"}})
 			cut, calm := s.Instances[0], s.Instances[1]
