--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/caller"
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/operator"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
@@ -45,13 +46,19 @@
 // Run runs an entry instance until ctx ends and its streams have finished. Canceling ctx starts a
 // graceful shutdown and is not an error.
 func Run(ctx context.Context, s settings.Settings, streams *iostreams.IOStreams) error {
+	return RunWithDialer(ctx, s, streams, nil)
+}
+
+// RunWithDialer is [Run] with what opens connections to backend servers over the instance's own links;
+// nil for plain TCP.
+func RunWithDialer(ctx context.Context, s settings.Settings, streams *iostreams.IOStreams, direct httpclient.DialFunc) error {
 	tel, err := telemetry.New(telemetry.Options{Settings: s, Out: streams.Out, ErrOut: streams.Err})
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	telemetry.CaptureLibraries(tel.Log)
 	setGCPercent()
-	p, err := newComponents(s, tel)
+	p, err := newComponents(s, tel, direct)
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
@@ -135,16 +142,34 @@
 func (in *instance) leave(callers *caller.Server, operators *operator.Server) {
 	in.log.Info().Msg("instance leaves")
 	callers.Drain()
+	in.components.dialPeer.Drain()
 	in.components.members.Leave()
 	in.awaitLeavePropagated()
 	ctx, cancel := context.WithTimeout(context.Background(), in.shutdownTimeout())
 	defer cancel()
 	callers.Shutdown(ctx)
+	in.awaitRelayed(ctx)
 	if err := operators.Shutdown(ctx); err != nil {
 		in.log.Warn().Err(err).Msg("operators' listener was not shut down cleanly")
 	}
 }
 
+// awaitRelayed waits for the connections that other instances have to backend servers through this one.
+func (in *instance) awaitRelayed(ctx context.Context) {
+	p := in.components.dialPeer
+	defer p.Close()
+	ticker := time.NewTicker(leavePollInterval)
+	defer ticker.Stop()
+	for p.Relayed() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			in.log.Warn().Int("relayed", p.Relayed()).Msg("connections of other instances are closed")
+			return
+		}
+	}
+}
+
 // awaitLeavePropagated waits until no other instance lists this one in /v1/instances. Callers use a
 // response of /v1/instances until it expires; if its lifetime were counted from the shutdown
 // signal, the last of them could find the listener closed.
