Ask instances again that failed to open a connection if no others are left

Instances that have just failed come last now instead of not at all. TestInstancesThatFailedAreAskedLast failed before.

--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -117,9 +117,17 @@
 
 // Relays returns up to n instances that may open a connection, in the order in which they are asked:
 // of each two drawn at random the one with fewer connections of this instance, so that they spread
-// over all instances that reach servers.
+// over all instances that reach servers. Those that have just failed to open one come last.
 func (p *Peer) Relays(now time.Time, rng *rand.Rand, n int) []Instance {
-	candidates := p.opts.Relays(rng, 2*n, func(id string) bool { return p.inBackoff(now, id) })
+	out := p.spread(p.opts.Relays(rng, 2*n, func(id string) bool { return p.inBackoff(now, id) }), n)
+	if len(out) == n {
+		return out
+	}
+	return append(out, p.opts.Relays(rng, n-len(out), func(id string) bool { return !p.inBackoff(now, id) })...)
+}
+
+// spread returns up to n of the candidates, of each two the one with fewer connections.
+func (p *Peer) spread(candidates []Instance, n int) []Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Instance
--- a/internal/dialpeer/dialpeer_test.go
+++ b/internal/dialpeer/dialpeer_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -158,6 +160,32 @@
 	}
 }
 
+// Guards against requests that are refused because each other instance was slow or refused once.
+func TestInstancesThatFailedAreAskedLast(t *testing.T) {
+	key, err := peer.NewKey("cG9sbGVuc3BpbmRsZS1wZWVyLWtleS0zMi1ieXRlcy4=")
+	require.NoError(t, err)
+	all := []dialpeer.Instance{{ID: "a", Address: "127.0.0.1:1"}, {ID: "b", Address: "127.0.0.1:1"}, {ID: "c", Address: "127.0.0.1:1"}}
+	p := dialpeer.New(dialpeer.Options{
+		Self: "own", Key: key, Links: serverlink.NewLinks(), Direct: httpclient.DialTCP, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now,
+		Relays: func(_ *rand.Rand, n int, exclude func(string) bool) []dialpeer.Instance {
+			kept := slices.DeleteFunc(slices.Clone(all), func(in dialpeer.Instance) bool { return exclude(in.ID) })
+			return kept[:min(n, len(kept))]
+		},
+	})
+	rng := rand.New(rand.NewPCG(1, 1))
+	fail := func(in dialpeer.Instance) {
+		_, err := p.Dial(t.Context(), in, "127.0.0.1:1", timeout)
+		require.ErrorIs(t, err, dialpeer.ErrPeer)
+	}
+	fail(all[0])
+	relays := p.Relays(time.Now(), rng, 3)
+	require.Len(t, relays, 3)
+	require.Equal(t, "a", relays[2].ID)
+	fail(all[1])
+	fail(all[2])
+	require.Len(t, p.Relays(time.Now(), rng, 3), 3)
+}
+
 // Guards against servers that go on with a request whose connection the instance has closed.
 func TestRelayClosesServerConnection(t *testing.T) {
 	closed := make(chan struct{})
