Take a server for down only if another instance says that it can't reach it

Other instances that are busy or slow counted as evidence that a server is down. TestBusyInstancesDontProveServerDown failed before.

--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -167,9 +168,11 @@
 	if errors.Is(err, ErrLink) {
 		return
 	}
+	now := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backoffUntil[id] = p.opts.Now().Add(peerBackoff)
+	maps.DeleteFunc(p.backoffUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	p.backoffUntil[id] = now.Add(peerBackoff)
 }
 
 func (p *Peer) dial(ctx context.Context, through Instance, address string, timeout time.Duration) (network.Conn, error) {
--- a/internal/serverdial/race.go
+++ b/internal/serverdial/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -65,7 +66,7 @@
 	r.startNext(ctx)
 	timer := time.NewTimer(headStart)
 	defer timer.Stop()
-	relayFailed, err := false, errNoPath
+	unreachable, err := false, errNoPath
 	for r.pending > 0 {
 		var outcome dialed
 		select {
@@ -85,11 +86,12 @@
 			return outcome.conn, nil
 		}
 		err = outcome.err
-		relayFailed = relayFailed || outcome.path == otherInstance
+		// An instance that is busy or slow says nothing about the server.
+		unreachable = unreachable || errors.Is(err, dialpeer.ErrLink)
 		r.startNext(ctx)
 		timer.Reset(headStart)
 	}
-	if relayFailed {
+	if unreachable {
 		r.d.opts.Links.RecordRelayed(r.d.opts.Now(), r.address, false)
 	}
 	return nil, err
--- a/internal/serverdial/serverdial.go
+++ b/internal/serverdial/serverdial.go
@@ -24,11 +24,9 @@
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 )
 
-const (
-	// headStart is how long a dial may take before the next one is started. A working link takes a
-	// few milliseconds.
-	headStart = 80 * time.Millisecond
-)
+// headStart is how long a dial may take before the next one is started. A working link takes a few
+// milliseconds.
+const headStart = 80 * time.Millisecond
 
 // Options configures a [Dialer].
 type Options struct {
--- a/internal/serverdial/serverdial_test.go
+++ b/internal/serverdial/serverdial_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -50,8 +51,9 @@
 	d := serverdial.New(serverdial.Options{Links: links, Direct: direct, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now})
 	p := dialpeer.New(dialpeer.Options{
 		Self: id, Key: key, Links: links, Direct: d.DialDirect, Log: zerolog.Nop(), Scope: tally.NoopScope, Now: time.Now,
-		Relays: func(_ *rand.Rand, n int, _ func(string) bool) []dialpeer.Instance {
-			return others[:min(n, len(others))]
+		Relays: func(_ *rand.Rand, n int, exclude func(string) bool) []dialpeer.Instance {
+			kept := slices.DeleteFunc(slices.Clone(others), func(in dialpeer.Instance) bool { return exclude(in.ID) })
+			return kept[:min(n, len(kept))]
 		},
 	})
 	t.Cleanup(p.Close)
@@ -124,3 +126,36 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(started), atOnce)
 }
+
+// Guards against a server that is taken for down because other instances were busy, and is then dialed
+// over the failing link alone.
+func TestBusyInstancesDontProveServerDown(t *testing.T) {
+	tests := map[string]struct {
+		other httpclient.DialFunc
+		want  serverlink.Route
+	}{
+		"other instance reaches no server at all": {refuse, serverlink.RelayedFirst{OwnLinkLast: true}},
+		"other instance reaches other servers":    {nil, serverlink.DirectOnly{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const address = "10.0.0.7:8000"
+			var reached *serverlink.Links
+			direct := tt.other
+			if direct == nil {
+				direct = func(context.Context, string, time.Duration) (network.Conn, error) {
+					reached.RecordDirect(time.Now(), "10.0.0.9:8000", true)
+					return nil, syscall.ECONNREFUSED
+				}
+			}
+			_, links, other := newInstance(t, "a", direct, nil)
+			reached = links
+			d, own, _ := newInstance(t, "own", refuse, []dialpeer.Instance{other})
+			own.RecordDirect(time.Now(), "10.0.0.9:8000", true)
+			_, err := d.Dial(t.Context(), address, timeout)
+			require.Error(t, err)
+			require.Equal(t, tt.want, own.Route(time.Now(), address))
+		})
+	}
+}
