--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -155,12 +155,12 @@
 // Dial opens a connection to a server through another instance.
 func (p *Peer) Dial(ctx context.Context, through Instance, address string, timeout time.Duration) (network.Conn, error) {
 	conn, err := p.dial(ctx, through, address, timeout)
-	outcome := "connected"
+	result := "connected"
 	if err != nil {
-		outcome = "failed"
+		result = "failed"
 		p.recordFailure(through.ID, err)
 	}
-	p.opts.Scope.Tagged(map[string]string{"path": "relayed", "outcome": outcome}).Counter("dials").Inc(1)
+	p.opts.Scope.Tagged(map[string]string{"kind": "relayed", "result": result}).Counter("dials").Inc(1)
 	return conn, err
 }
 
--- a/internal/serverdial/serverdial.go
+++ b/internal/serverdial/serverdial.go
@@ -75,11 +75,11 @@
 // DialDirect opens a connection over the own link.
 func (d *Dialer) DialDirect(ctx context.Context, address string, timeout time.Duration) (network.Conn, error) {
 	conn, err := d.opts.Direct(ctx, address, timeout)
-	outcome := "connected"
+	result := "connected"
 	if err != nil {
-		outcome = "failed"
+		result = "failed"
 	}
-	d.opts.Scope.Tagged(map[string]string{"path": "direct", "outcome": outcome}).Counter("dials").Inc(1)
+	d.opts.Scope.Tagged(map[string]string{"kind": "direct", "result": result}).Counter("dials").Inc(1)
 	d.recordDirect(address, err)
 	return conn, err
 }
