Log when the verdict on a crash suspect changes

When a request crashed three engines where two are allowed (TestCrashingRequest), the logs said which owner saw a restart, but not which owner knew of which crash. Each owner now logs a request's verdict with its fingerprint and the crash or peer that changed it, and times of log lines have milliseconds, so that the lines of several instances can be ordered.

--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -80,6 +80,19 @@
 	Refused
 )
 
+// String returns the verdict's name in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Clear:
+		return "clear"
+	case Suspected:
+		return "suspected"
+	case Refused:
+		return "refused"
+	}
+	return "unknown"
+}
+
 func lastChange(e Entry) time.Time {
 	last := e.ClearedAt
 	for _, c := range e.Crashes {
--- a/internal/owner/acquire.go
+++ b/internal/owner/acquire.go
@@ -230,7 +230,7 @@
 				FirstToken:   time.Duration(r.GetFirstTokenMillis()) * time.Millisecond,
 				Duration:     time.Duration(r.GetDurationMillis()) * time.Millisecond,
 			})
-			o.recordCrash(e.lastSeen(now, restart), e, restart)
+			o.recordCrash(now, e, restart)
 			e.deliver(e.state.Tick(now))
 		})
 	}
--- a/internal/owner/expired_permit_test.go
+++ b/internal/owner/expired_permit_test.go
@@ -36,7 +36,7 @@
 	})
 	o, err := New(Options{
 		AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: immediateLoads{},
-		Policy: admission.Predicted{}, Suspects: NewSuspects(), PermitLifetime: permitFor, PollInterval: time.Minute,
+		Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: permitFor, PollInterval: time.Minute,
 		Log: zerolog.Nop(), Metrics: tally.NoopScope,
 	})
 	require.NoError(t, err)
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -112,7 +112,7 @@
 func (o *Owner) handlePoll(now time.Time, server pollenspindle.Server, e *entry, report admission.Report, err error) {
 	var restart *admission.Restart
 	o.withLock(e, func() {
-		defer func() { o.recordCrash(e.lastSeen(now, restart), e, restart) }()
+		defer func() { o.recordCrash(now, e, restart) }()
 		e.polling = false
 		before, _ := e.state.LastReport()
 		e.recordPoll(now, err, before, report)
@@ -141,12 +141,13 @@
 
 // recordCrash records which requests ran when a server crashed, at the time when the
 // server was last seen running.
-func (o *Owner) recordCrash(at time.Time, e *entry, restart *admission.Restart) {
+func (o *Owner) recordCrash(now time.Time, e *entry, restart *admission.Restart) {
 	if restart == nil {
 		return
 	}
+	at := e.lastSeen(now, restart)
 	crash := crashsuspect.CrashName(e.zone, e.cfg.Name, restart.OldIncarnation)
 	for _, r := range restart.Running {
-		o.opts.Suspects.recordCrash(at, crash, r.Fingerprint)
+		o.opts.Suspects.recordCrash(now, at, crash, r.Fingerprint)
 	}
 }
--- a/internal/owner/poll_interval_test.go
+++ b/internal/owner/poll_interval_test.go
@@ -113,7 +113,7 @@
 	loads := make(blockedLoads)
 	o, err := New(Options{
 		AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: loads,
-		Policy: admission.Predicted{}, Suspects: NewSuspects(), PermitLifetime: time.Minute, PollInterval: time.Minute,
+		Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: time.Minute, PollInterval: time.Minute,
 		Log: zerolog.Nop(), Metrics: tally.NoopScope,
 	})
 	require.NoError(t, err)
--- a/internal/owner/suspects.go
+++ b/internal/owner/suspects.go
@@ -1,22 +1,26 @@
 package owner
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 )
 
 // Suspects is the table of crash suspects, shared between the owner, which detects
 // crashes, and the heartbeats, which distribute them. It is safe for concurrent use.
 type Suspects struct {
+	log   zerolog.Logger
 	mu    sync.Mutex
 	table *crashsuspect.Table
 }
 
-// NewSuspects returns an empty table.
-func NewSuspects() *Suspects {
-	return &Suspects{table: crashsuspect.NewTable(crashsuspect.DefaultParams)}
+// NewSuspects returns an empty table. Changed verdicts are logged.
+func NewSuspects(log zerolog.Logger) *Suspects {
+	return &Suspects{log: log, table: crashsuspect.NewTable(crashsuspect.DefaultParams)}
 }
 
 // Newest returns the newest entries, at most n, for a heartbeat.
@@ -30,7 +34,9 @@
 func (s *Suspects) Merge(now time.Time, entries []crashsuspect.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Merge(now, entries)
+	for _, e := range entries {
+		s.logChange(now, e.Fingerprint, "peer", func() { s.table.Merge(now, []crashsuspect.Entry{e}) })
+	}
 }
 
 func (s *Suspects) check(now time.Time, fingerprint uint64) crashsuspect.Verdict {
@@ -48,11 +54,22 @@
 func (s *Suspects) recordFinished(now time.Time, fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordFinished(now, fingerprint)
+	s.logChange(now, fingerprint, "finished", func() { s.table.RecordFinished(now, fingerprint) })
 }
 
-func (s *Suspects) recordCrash(now time.Time, name string, fingerprint uint64) {
+// recordCrash records a crash at the time at of a server that ran the request.
+func (s *Suspects) recordCrash(now, at time.Time, name string, fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordCrash(now, name, fingerprint)
+	s.logChange(now, fingerprint, name, func() { s.table.RecordCrash(at, name, fingerprint) })
+}
+
+// logChange applies a change to a request's entry and logs its verdict if that differs afterwards.
+func (s *Suspects) logChange(now time.Time, fingerprint uint64, cause string, change func()) {
+	before := s.table.Check(now, fingerprint)
+	change()
+	if after := s.table.Check(now, fingerprint); after != before {
+		s.log.Info().Str("fingerprint", strconv.FormatUint(fingerprint, 16)).Str("cause", cause).
+			Stringer("verdict", after).Msg("crash suspect changed")
+	}
 }
--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -144,7 +144,7 @@
 	list := instancelist.NewClient(c.platform.URL, nil)
 	store := config.NewStore(config.StoreOptions{Objects: objects, Log: zerolog.Nop(), WatchWait: 200 * time.Millisecond})
 	pool := peer.NewPool(id, key, c.metrics)
-	suspects := owner.NewSuspects()
+	suspects := owner.NewSuspects(zerolog.Nop())
 	in := &instance{self: roster.Instance{
 		ID: id, Incarnation: incarnation, PeerAddress: listener.Addr().String(), CallerAddress: "127.0.0.1:1", Zone: "a", Region: "r",
 	}}
--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	pool := peer.NewPool(s.Instance, key, p.tel.Metrics.SubScope("peer"), peer.WithMetering(p.costs))
-	suspects := owner.NewSuspects()
+	suspects := owner.NewSuspects(telemetry.ComponentLogger(p.tel.Log, "owner"))
 	p.members, err = member.New(member.Options{
 		Self:      p.self,
 		Timing:    p.rosterTiming(),
--- a/internal/slopes/background_loops.go
+++ b/internal/slopes/background_loops.go
@@ -96,7 +96,7 @@
 	snap := config.NewSnapshot(1, fleetConfig(servers, designWorkspaces))
 	o, err := owner.New(owner.Options{
 		Self: self.ID, Incarnation: self.Incarnation, AuthoritySource: lease, Config: func() *config.Snapshot { return snap },
-		Loads: fakeLoads{}, Policy: admission.Predicted{}, Suspects: owner.NewSuspects(),
+		Loads: fakeLoads{}, Policy: admission.Predicted{}, Suspects: owner.NewSuspects(zerolog.Nop()),
 		PermitLifetime: 2 * time.Second, PollInterval: 500 * time.Millisecond, Log: zerolog.Nop(), Metrics: tally.NoopScope,
 	})
 	if err != nil {
--- a/internal/slopes/poll_rates.go
+++ b/internal/slopes/poll_rates.go
@@ -71,7 +71,7 @@
 	snap, loads := config.NewSnapshot(1, cfg), &countingLoads{polls: map[string]int{}}
 	o, err := owner.New(owner.Options{
 		Self: self.ID, Incarnation: self.Incarnation, AuthoritySource: lease, Config: func() *config.Snapshot { return snap },
-		Loads: loads, Policy: admission.Predicted{}, Suspects: owner.NewSuspects(),
+		Loads: loads, Policy: admission.Predicted{}, Suspects: owner.NewSuspects(zerolog.Nop()),
 		PermitLifetime: 2 * time.Second, PollInterval: 500 * time.Millisecond, Log: zerolog.Nop(), Metrics: tally.NoopScope,
 	})
 	if err != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -66,15 +66,17 @@
 // Propagator propagates trace contexts between processes, in the W3C format.
 var Propagator propagation.TextMapPropagator = propagation.TraceContext{}
 
-// logCauses makes loggers write errors with their causes: the log is often an operator's only
-// source for the reason why a lower layer has failed.
-var logCauses = sync.OnceFunc(func() {
+// configureLogs makes loggers write errors with their causes, as the log is often an operator's only
+// source for the reason why a lower layer has failed, and times precise enough to order the lines
+// of several instances.
+var configureLogs = sync.OnceFunc(func() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	zerolog.ErrorMarshalFunc = func(err error) any { return errortext.Of(err) }
 })
 
 // New creates the telemetry of a process.
 func New(opts Options) (*Telemetry, error) {
-	logCauses()
+	configureLogs()
 	t := &Telemetry{}
 	if err := SetLevel(opts.Settings.Log.Level); err != nil {
 		return nil, err
