Tell all instances of a crash before a lost request is repeated

Cause: owners learned of each other's crashes from heartbeats, 0.25 to 0.5 s later. The relay repeats a lost request itself, and so do callers, sooner than that after a slow attempt.

Evidence (log of the new test without the fix): entry-1, the owner of briefing-1 and briefing-2, refused the request after two crashes at 23.130; entry-3, the owner of briefing-3, had heard of neither when it granted a permit, and saw its own engine's crash at 23.144, its first.

An owner now announces a crash to all instances of the roster at once, and the release of a lost request returns when the owner knows from a load report asked for afterwards whether the server crashed, and all instances have answered the announcement. Only then is the request repeated or its caller answered. So the owner of the next server knows of the crash whatever the period of heartbeats is. The wait ends after 1 s, if an instance or the server answers nothing.

Ruled out: that retries of the relay alone are at fault. It attempts a lost request twice, so three crashes need a second attempt of the caller.

--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -104,6 +104,12 @@
 	return nil
 }
 
+// Holds reports whether a permit is granted and its request hasn't ended.
+func (s *Server) Holds(permitID string) bool {
+	_, ok := s.permits[permitID]
+	return ok
+}
+
 // Claim records that the sender of a queued request has been told of its permit.
 func (s *Server) Claim(requestID string) {
 	if g, ok := s.grants[requestID]; ok {
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -68,6 +68,10 @@
 
 func (p *openPermits) ReportBroken(time.Time, permit.Permit) {}
 
+func (p *openPermits) ReleaseLost(_ context.Context, held permit.Permit, o permit.Outcome) {
+	p.Release(held, o)
+}
+
 func (p *openPermits) Release(_ permit.Permit, o permit.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -116,6 +116,10 @@
 
 func (p *fakePermits) ReportBroken(time.Time, permit.Permit) {}
 
+func (p *fakePermits) ReleaseLost(_ context.Context, held permit.Permit, o permit.Outcome) {
+	p.Release(held, o)
+}
+
 func (p *fakePermits) Release(_ permit.Permit, o permit.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -95,7 +95,12 @@
 	start := time.Now()
 	res := result{ending: permit.EndingLost}
 	defer func() {
-		f.opts.Permits.Release(p, permit.Outcome{Ending: res.ending, Duration: time.Since(start), Pause: res.pause})
+		o := permit.Outcome{Ending: res.ending, Duration: time.Since(start), Pause: res.pause}
+		if res.cause == retry.CauseLost {
+			f.opts.Permits.ReleaseLost(context.WithoutCancel(ctx), p, o)
+		} else {
+			f.opts.Permits.Release(p, o)
+		}
 		f.opts.Scope.Tagged(map[string]string{"zone": p.Zone, "ending": string(res.ending)}).Counter("attempts").Inc(1)
 	}()
 	// If the process was paused since it acquired the permit, the slot may have been given to
--- a/internal/member/handler.go
+++ b/internal/member/handler.go
@@ -16,6 +16,7 @@
 type Permits interface {
 	Acquire(ctx context.Context, req *peerv1.AcquireRequest) *peerv1.AcquireResponse
 	Release(released []*peerv1.Released)
+	SettleLosses(ctx context.Context, released []*peerv1.Released)
 }
 
 // maxReleased limits the permits in one Release call.
@@ -90,11 +91,16 @@
 }
 
 // Release implements the service.
-func (h *handler) Release(_ context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
+func (h *handler) Release(ctx context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
 	if len(req.GetReleased()) > maxReleased {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errTooMany)
 	}
 	h.permits.Release(req.GetReleased())
+	if settle := time.Duration(req.GetSettleMillis()) * time.Millisecond; settle > 0 {
+		ctx, cancel := context.WithTimeout(ctx, settle)
+		defer cancel()
+		h.permits.SettleLosses(ctx, req.GetReleased())
+	}
 	return &peerv1.ReleaseResponse{}, nil
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -80,6 +80,8 @@
 	opts Options
 	// senders runs the heartbeat calls; when it is full, a peer is skipped until the next round.
 	senders *ants.Pool
+	// announcers runs the heartbeats that announce crashes; when it is full, an announcement waits.
+	announcers *ants.Pool
 
 	// wake triggers a heartbeat round at once. Its capacity is one; when it is full, a round is
 	// already pending.
@@ -125,9 +127,14 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrPool, merry.WithCause(err))
 	}
+	announcers, err := ants.NewPool(maxInFlight)
+	if err != nil {
+		return nil, merry.Wrap(ErrPool, merry.WithCause(err))
+	}
 	return &Member{
 		opts:       opts,
 		senders:    beats,
+		announcers: announcers,
 		wake:       make(chan struct{}, 1),
 		reread:     make(chan struct{}, 1),
 		lease:      roster.NewLease(opts.Self, opts.Timing),
@@ -139,6 +146,7 @@
 // Run runs the member until ctx ends.
 func (m *Member) Run(ctx context.Context) {
 	defer m.senders.Release()
+	defer m.announcers.Release()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){m.watchPauses, m.followRoster, m.runHeartbeats, m.runProposer} {
 		loops.Go(func() { loop(ctx) })
--- a/internal/owner/acquire.go
+++ b/internal/owner/acquire.go
@@ -218,7 +218,7 @@
 				o.opts.Suspects.recordFinished(now, holder.fingerprint)
 			}
 			delete(e.holders, r.GetPermitId())
-			if ending := permit.Ending(r.GetEnding()); ending == permit.EndingLost || ending == permit.EndingCrashed {
+			if wasLost(r) {
 				// The server may have crashed. Polling it at once detects a
 				// request that crashes servers before its caller has retried
 				// it many times.
--- a/internal/owner/entry.go
+++ b/internal/owner/entry.go
@@ -43,6 +43,14 @@
 	previousReport admission.Report
 	// reportReady is set while a request waits for a report; see lastReportSuffices.
 	reportReady chan struct{}
+	// pollStartedAt is when the last poll began, reportAskedAt the same of the last one that showed
+	// the server's incarnation or that it has exited. pollEnded is set while a lost request waits
+	// for a poll, and closed when it ends.
+	pollStartedAt time.Time
+	reportAskedAt time.Time
+	pollEnded     chan struct{}
+	// crashAnnounced is closed once the other instances know of the server's last crash.
+	crashAnnounced <-chan struct{}
 }
 
 // permitHolder identifies the instance that holds a permit, and its request.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,7 @@
 	"pollenspindle.example/pollenspindle/internal/admission"
 	"pollenspindle.example/pollenspindle/internal/config"
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/outputlength"
 	"pollenspindle.example/pollenspindle/internal/permit"
 	"pollenspindle.example/pollenspindle/internal/roster"
@@ -74,6 +75,9 @@
 	Loads           Loads
 	Policy          admission.Policy
 	Suspects        *Suspects
+	// Announce sends crash suspects to all other instances and returns when each has answered or
+	// has had its time to; it may be nil.
+	Announce func(ctx context.Context, entries []crashsuspect.Entry)
 	// PermitLifetime is how long a permit is valid, PollInterval the usual time
 	// between two load reports of one server.
 	PermitLifetime time.Duration
@@ -117,9 +121,12 @@
 	}, nil
 }
 
-// Run polls load reports and updates rights until ctx ends.
+// Run polls load reports, updates rights and announces crashes until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	defer o.workers.Release()
+	var announcements sync.WaitGroup
+	defer announcements.Wait()
+	announcements.Go(func() { o.runAnnouncements(ctx) })
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -83,7 +83,7 @@
 	e.mu.Lock()
 	due := !e.polling && now.Sub(e.polledAt) >= e.pollInterval(now, o.opts.PollInterval)
 	if due {
-		e.polling, e.polledAt, e.grantsSincePoll = true, now, 0
+		e.polling, e.polledAt, e.pollStartedAt, e.grantsSincePoll = true, now, now, 0
 	}
 	e.mu.Unlock()
 	if !due {
@@ -142,12 +142,10 @@
 // recordCrash records which requests ran when a server crashed, at the time when the
 // server was last seen running.
 func (o *Owner) recordCrash(now time.Time, e *entry, restart *admission.Restart) {
-	if restart == nil {
+	if restart == nil || len(restart.Running) == 0 {
 		return
 	}
 	at := e.lastSeen(now, restart)
 	crash := crashsuspect.CrashName(e.zone, e.cfg.Name, restart.OldIncarnation)
-	for _, r := range restart.Running {
-		o.opts.Suspects.recordCrash(now, at, crash, r.Fingerprint)
-	}
+	e.crashAnnounced = o.opts.Suspects.recordCrash(now, at, crash, restart.Running)
 }
--- a/internal/owner/poll_interval.go
+++ b/internal/owner/poll_interval.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/admission"
@@ -79,6 +80,13 @@
 		close(e.reportReady)
 		e.reportReady = nil
 	}
+	if e.pollEnded != nil {
+		close(e.pollEnded)
+		e.pollEnded = nil
+	}
+	if err == nil || errors.Is(err, ErrNotListening) {
+		e.reportAskedAt = e.pollStartedAt
+	}
 	if err == nil {
 		e.grantsSinceReport = e.grantsSincePoll
 		if before.Incarnation != after.Incarnation {
--- a/internal/owner/suspects.go
+++ b/internal/owner/suspects.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
+	"pollenspindle.example/pollenspindle/internal/permit"
 )
 
 // Suspects is the table of crash suspects, shared between the owner, which detects
@@ -16,11 +18,15 @@
 	log   zerolog.Logger
 	mu    sync.Mutex
 	table *crashsuspect.Table
+	// pending holds the crashes that the other instances haven't been told of. wake, of capacity
+	// one, is full while there are any.
+	pending announcement
+	wake    chan struct{}
 }
 
 // NewSuspects returns an empty table. Changed verdicts are logged.
 func NewSuspects(log zerolog.Logger) *Suspects {
-	return &Suspects{log: log, table: crashsuspect.NewTable(crashsuspect.DefaultParams)}
+	return &Suspects{log: log, table: crashsuspect.NewTable(crashsuspect.DefaultParams), wake: make(chan struct{}, 1)}
 }
 
 // Newest returns the newest entries, at most n, for a heartbeat.
@@ -57,11 +63,35 @@
 	s.logChange(now, fingerprint, "finished", func() { s.table.RecordFinished(now, fingerprint) })
 }
 
-// recordCrash records a crash at the time at of a server that ran the request.
-func (s *Suspects) recordCrash(now, at time.Time, name string, fingerprint uint64) {
+// recordCrash records the requests that ran when a server crashed at the time at. The returned
+// channel is closed once the crash is announced.
+func (s *Suspects) recordCrash(now, at time.Time, name string, running []permit.Request) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.logChange(now, fingerprint, name, func() { s.table.RecordCrash(at, name, fingerprint) })
+	if s.pending.done == nil {
+		s.pending.done = make(chan struct{})
+		s.wake <- struct{}{}
+	}
+	for _, r := range running {
+		s.logChange(now, r.Fingerprint, name, func() { s.table.RecordCrash(at, name, r.Fingerprint) })
+		s.pending.entries = append(s.pending.entries, crashsuspect.Entry{
+			Fingerprint: r.Fingerprint, Crashes: []crashsuspect.Crash{{Name: name, At: at}},
+		})
+	}
+	return s.pending.done
+}
+
+// takeAnnouncement returns the pending announcement without the requests that the loss of a zone
+// explains.
+func (s *Suspects) takeAnnouncement(now time.Time) announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.pending
+	s.pending = announcement{}
+	a.entries = slices.DeleteFunc(a.entries, func(e crashsuspect.Entry) bool {
+		return s.table.Check(now, e.Fingerprint) == crashsuspect.Clear
+	})
+	return a
 }
 
 // logChange applies a change to a request's entry and logs its verdict if that differs afterwards.
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -153,4 +153,8 @@
 	MaySend(now time.Time, p Permit) bool
 	ReportBroken(now time.Time, p Permit)
 	Release(p Permit, o Outcome)
+	// ReleaseLost releases the permit of a request that was sent and lost. It returns when all
+	// instances know whether the request crashed its server, or after a time limit. Until then a
+	// repetition could crash another server.
+	ReleaseLost(ctx context.Context, p Permit, o Outcome)
 }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -150,6 +150,10 @@
 	p.broken[granted.Server]++
 }
 
+func (p *fakePermits) ReleaseLost(_ context.Context, held permit.Permit, o permit.Outcome) {
+	p.Release(held, o)
+}
+
 func (p *fakePermits) Release(_ permit.Permit, o permit.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -146,7 +146,7 @@
 	res := result{ending: permit.EndingLost}
 	defer func() {
 		s.relay.unregister(req.ID)
-		s.relay.opts.Permits.Release(p, a.outcome(&res))
+		s.release(p, a.outcome(&res), res.cause)
 		s.relay.opts.Scope.Tagged(map[string]string{"zone": p.Zone, "ending": string(res.ending)}).Counter("attempts").Inc(1)
 	}()
 	res = a.run()
@@ -157,6 +157,15 @@
 	return res
 }
 
+// release releases the permit of an attempt. A lost one is repeated, here or by the caller.
+func (s *session) release(p permit.Permit, o permit.Outcome, cause retry.Cause) {
+	if cause == retry.CauseLost {
+		s.relay.opts.Permits.ReleaseLost(s.ctx, p, o)
+		return
+	}
+	s.relay.opts.Permits.Release(p, o)
+}
+
 func (s *session) acquire(req permit.Request) (permit.Permit, error) {
 	ctx, span := s.span("permit.acquire", attribute.String("service", req.Service))
 	defer span.End()
--- a/internal/router/release.go
+++ b/internal/router/release.go
@@ -25,6 +25,11 @@
 	releaseMaxAge  = 30 * time.Second
 	// releaseRetryDelay is the delay before failed releases are sent again.
 	releaseRetryDelay = 200 * time.Millisecond
+	// settleTimeout limits how long a lost request waits until all instances know of its crash.
+	// An instance that answers nothing for longer loses its right to grant permits soon.
+	settleTimeout = time.Second
+	// settleSlack is added to it for the call's timeout.
+	settleSlack = 200 * time.Millisecond
 	// maxPending is the maximum number of pending releases for one owner.
 	maxPending = 4096
 )
@@ -46,7 +51,11 @@
 	if o.Pause > 0 {
 		r.recordPause(time.Now(), p.Server, o.Pause)
 	}
-	rel := release{owner: p.Owner, at: time.Now(), urgent: o.Ending == permit.EndingLost || o.Ending == permit.EndingCrashed, released: &peerv1.Released{
+	r.enqueueRelease(newRelease(p, o))
+}
+
+func newRelease(p permit.Permit, o permit.Outcome) release {
+	return release{owner: p.Owner, at: time.Now(), urgent: o.Ending == permit.EndingLost || o.Ending == permit.EndingCrashed, released: &peerv1.Released{
 		Server:           p.Server,
 		PermitId:         p.ID,
 		Ending:           string(o.Ending),
@@ -54,7 +63,29 @@
 		FirstTokenMillis: int32(o.FirstToken / time.Millisecond),
 		DurationMillis:   int32(o.Duration / time.Millisecond),
 	}}
-	r.enqueueRelease(rel)
+}
+
+// ReleaseLost implements [permit.Acquirer]. If the owner doesn't answer, the release is sent again
+// by [Router.Run].
+func (r *Router) ReleaseLost(ctx context.Context, p permit.Permit, o permit.Outcome) {
+	rel := newRelease(p, o)
+	req := &peerv1.ReleaseRequest{Released: []*peerv1.Released{rel.released}, SettleMillis: int32(settleTimeout / time.Millisecond)}
+	if p.Owner == r.opts.Self.ID {
+		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+		defer cancel()
+		r.opts.Local.Release(req.GetReleased())
+		r.opts.Local.SettleLosses(ctx, req.GetReleased())
+		return
+	}
+	to, ok := r.opts.Members.Roster().Find(p.Owner)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout+settleSlack)
+	defer cancel()
+	if _, err := r.opts.Peers.Client(to.PeerAddress).Release(ctx, req); err != nil {
+		r.enqueueRelease(rel)
+	}
 }
 
 // enqueueRelease passes a release to the owner in this process, or queues it for
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 type Local interface {
 	Acquire(ctx context.Context, req *peerv1.AcquireRequest) *peerv1.AcquireResponse
 	Release(released []*peerv1.Released)
+	SettleLosses(ctx context.Context, released []*peerv1.Released)
 }
 
 // Options configures a [Router].
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -114,6 +114,8 @@
 
 func (countingOwner) Release([]*peerv1.Released) {}
 
+func (countingOwner) SettleLosses(context.Context, []*peerv1.Released) {}
+
 // Guards against requests with a common prompt prefix all going to the server that
 // has it cached: its streams would slow down while the other servers are idle. The
 // server is preferred only until its extra load outweighs the cache hit.
--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -118,6 +118,7 @@
 		Loads:           owner.Clients{Engine: p.engines, Service: p.services},
 		Policy:          admission,
 		Suspects:        suspects,
+		Announce:        p.members.AnnounceSuspects,
 		PermitLifetime:  millis(s.Timing.PermitMillis),
 		PollInterval:    millis(s.Timing.LoadPollMillis),
 		Log:             telemetry.ComponentLogger(p.tel.Log, "owner"),
--- a/internal/slopes/decisions.go
+++ b/internal/slopes/decisions.go
@@ -98,6 +98,8 @@
 func (singleMember) NewWorkAllowed(time.Time) bool        { return true }
 func (singleMember) CatchUp(context.Context, string) bool { return false }
 func (singleMember) Release([]*peerv1.Released)           {}
+
+func (singleMember) SettleLosses(context.Context, []*peerv1.Released) {}
 func (singleMember) Acquire(context.Context, *peerv1.AcquireRequest) *peerv1.AcquireResponse {
 	return &peerv1.AcquireResponse{Answer: &peerv1.AcquireResponse_Granted{Granted: &peerv1.Granted{
 		PermitId: "permit", Epoch: 1, ValidMillis: 2000,
--- a/test/failure/crashing_test.go
+++ b/test/failure/crashing_test.go
@@ -11,6 +11,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/permit"
+	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/test/system"
 )
 
@@ -63,6 +64,33 @@
 	s.WaitIdle(t)
 }
 
+// Guards against owners that grant a crashing request an engine because its caller repeats it before
+// they hear of the crash.
+func TestCrashingRequestRepeatedAtOnce(t *testing.T) {
+	s := start(t, system.Options{
+		TimeScale:  2,
+		EngineArgs: []string{"--poison-marker", crashMarker, "--crash", "restart", "--cold-millis", "0"},
+		Settings: func(s *settings.Settings) {
+			s.Timing.HeartbeatMillis, s.Timing.ConfirmMillis = 4000, 10000
+		},
+	})
+	c := s.Caller("kigali-flyers")
+	refusals := 0
+	deadline := time.Now().Add(system.WaitTimeout)
+	for i := 0; refusals < len(s.Instances); i++ {
+		require.True(t, time.Now().Before(deadline), "the request isn't refused")
+		st, err := c.Generate(context.Background(), t, s.Instances[i%len(s.Instances)].Caller, "flight-briefing", crashMarker, maxOutputTokens)
+		require.NoError(t, err)
+		require.NotNil(t, st.Failure, "a crashing request has no answer")
+		refusals++
+		if st.Failure.Code != answer.Code(permit.ReasonSuspect) {
+			t.Logf("attempt %d at %s: %s", i, s.Instances[i%len(s.Instances)].ID, st.Failure.Code)
+			refusals = 0
+		}
+	}
+	require.Equal(t, 2, countCrashes(t, s), "engines crashed by one request")
+}
+
 // countCrashes returns the number of engines on which the crashing request ran.
 func countCrashes(t *testing.T, s *system.System) int {
 	t.Helper()
