Announce an instance as ready only once it knows others

Callers saw: an instance that was restarted was named to callers by the others, but its own directory named only itself, so that callers that asked there went on to this one instance alone.

Cause: an instance is ready once it knows the platform's state, which a seed reads itself. If its first call to another instance is lost, the next one tells that instance that it is ready, and the answer, with the others' records, is still on its way while the directory there already names it.

An instance now tells the others that it is ready once one of them has answered, or 2 s after its start if none does. Its own directory names it in the meantime.

--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -208,9 +208,15 @@
 	return startupWait + time.Duration(rand.Int64N(int64(startupJitter)))
 }
 
-// status returns what this instance reports about itself to the others.
+// joinWait is how long a ready instance that can't reach any other waits before it tells them that
+// it is ready.
+const joinWait = 2 * time.Second
+
+// status returns what this instance reports about itself to the others. It is ready once it knows
+// some of them: callers that are sent here ask it for instances, too, and would get this one only.
 func (in *instance) status() membership.Status {
-	return membership.Status{Ready: in.server.Ready(), Leaving: in.server.Draining(), PlatformUnreachable: in.follower.PlatformUnreachable(), ServersUnreachable: in.linksLost()}
+	joined := in.gossip.Joined() || time.Since(in.startedAt) >= joinWait
+	return membership.Status{Ready: in.server.Ready() && joined, Leaving: in.server.Draining(), PlatformUnreachable: in.follower.PlatformUnreachable(), ServersUnreachable: in.linksLost()}
 }
 
 // recordCall counts a call to the platform.
@@ -260,9 +266,14 @@
 	return ok
 }
 
-// callerAddresses returns the instances for callers in an availability zone.
+// callerAddresses returns the instances for callers in an availability zone: this one alone while it
+// knows no other that is ready.
 func (in *instance) callerAddresses(zone string) []string {
-	return in.table.CallerAddresses(rand.New(rand.NewPCG(rand.Uint64(), 4)), zone, maxAddresses)
+	addresses := in.table.CallerAddresses(rand.New(rand.NewPCG(rand.Uint64(), 4)), zone, maxAddresses)
+	if len(addresses) == 0 && in.server.Ready() {
+		return []string{in.table.Self().Caller}
+	}
+	return addresses
 }
 
 // retryLimits returns this instance's share of the deployment's retry budget.
