Hold requests after a pause until new work is confirmed

Callers saw: requests refused as configurationNotConfirmed at an instance whose process had been starved of processor time for over a second.

Cause: after a pause an instance must not act on what it knew before, and waits for the platform or its peers to confirm roster and configuration. Requests that arrived until then were refused at once, though the confirmation takes one round of calls; while the platform is down it came with the next regular round of heartbeats only.

Requests now wait for the confirmation, for at most 1 s after the pause, before they are authenticated, and the pause triggers a round of heartbeats at once. An instance that is cut off refuses at once as before, apart from this second.

--- a/internal/caller/generate.go
+++ b/internal/caller/generate.go
@@ -66,6 +66,7 @@
 // of the response, which may take minutes: its stack frame would be kept for that time and double
 // the stack of each open stream.
 func (s *Server) startGeneration(ctx context.Context, c *app.RequestContext, e openai.Endpoint) (*startedGeneration, error) {
+	s.awaitResume(ctx)
 	ident, err := s.authenticate(c)
 	if err != nil {
 		return nil, err
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -92,9 +92,12 @@
 	Listener  net.Listener
 	Config    ConfigSource
 	Instances Instances
-	Permits   permit.Acquirer
-	Engine    relay.Engine
-	Services  forward.Client
+	// AwaitResume waits for the confirmation of the configuration after a pause of the process, for
+	// a limited time; nil if there is none.
+	AwaitResume func(ctx context.Context)
+	Permits     permit.Acquirer
+	Engine      relay.Engine
+	Services    forward.Client
 	// Claims may be nil: calls with an idempotency key are then refused.
 	Claims        forward.Claims
 	Retries       *retry.Budgets
@@ -246,6 +249,13 @@
 	s.peers.Close()
 }
 
+// awaitResume waits after a pause of the process before a request is authenticated.
+func (s *Server) awaitResume(ctx context.Context) {
+	if s.opts.AwaitResume != nil {
+		s.opts.AwaitResume(ctx)
+	}
+}
+
 func (s *Server) isConfirmed(now time.Time) bool {
 	return s.opts.Config.Confirmed(now, time.Duration(s.opts.Timing.ConfirmMillis)*time.Millisecond)
 }
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -29,6 +29,7 @@
 
 // service forwards a call to a plain service.
 func (s *Server) service(ctx context.Context, c *app.RequestContext) error {
+	s.awaitResume(ctx)
 	ident, err := s.authenticate(c)
 	if err != nil {
 		return err
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -180,6 +180,28 @@
 	return m.guard.Allowed(now)
 }
 
+const (
+	// resumeTimeout limits how long requests wait for the confirmation after a pause of the process.
+	// A round of heartbeats brings it, also while the platform is down.
+	resumeTimeout = time.Second
+	// resumeInterval is the time between two checks for it.
+	resumeInterval = 10 * time.Millisecond
+)
+
+// AwaitResume waits until new work is allowed after a pause of the process, or resumeTimeout. It
+// returns at once if the process wasn't paused.
+func (m *Member) AwaitResume(ctx context.Context) {
+	for ctx.Err() == nil && m.resuming(time.Now()) {
+		pause(ctx, resumeInterval, nil)
+	}
+}
+
+func (m *Member) resuming(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.guard.Resuming(now, resumeTimeout)
+}
+
 // Live returns the instances that callers may use, without those that are leaving.
 func (m *Member) Live() []roster.Instance {
 	m.mu.Lock()
@@ -276,6 +298,7 @@
 			m.opts.Log.Warn().Msg("process was paused, no new work until the roster and configuration are confirmed")
 			m.opts.Metrics.Counter("pauses").Inc(1)
 			signal(m.reread)
+			signal(m.wake)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/roster/guard.go
+++ b/internal/roster/guard.go
@@ -59,6 +59,15 @@
 	return !g.suspended && !g.lastTick.IsZero() && now.Sub(g.lastTick) <= MaxGap
 }
 
+// Resuming reports whether the process was paused, and has waited for less than d for the
+// confirmation that new work may be sent.
+func (g *Guard) Resuming(now time.Time, d time.Duration) bool {
+	if unnoticed := now.Sub(g.lastTick) > MaxGap; unnoticed {
+		return !g.lastTick.IsZero()
+	}
+	return g.suspended && now.Sub(g.resumedAt) < d
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -222,6 +222,7 @@
 		Listener:               listener,
 		Config:                 guardedConfig{p.store, p.members},
 		Instances:              callers{p.members},
+		AwaitResume:            p.members.AwaitResume,
 		Permits:                p.router,
 		Engine:                 relay.NewEngine(p.engines),
 		Services:               p.services,
--- a/test/failure/shutdown_test.go
+++ b/test/failure/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -95,6 +96,29 @@
 	}
 }
 
+// Guards against refusing requests because the process was paused a moment ago.
+func TestPausedInstanceServes(t *testing.T) {
+	const paused = 1500 * time.Millisecond
+	d := deployments["inyange"]
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("platform down %t", down), func(t *testing.T) {
+			s := start(t, system.Options{EngineArgs: []string{"--cold-millis", "0"}, ServiceArgs: []string{"--cold-millis", "0"}})
+			in := s.Instances[0]
+			require.Equal(t, linkRequests, countServed(t, s, d, in, "before", read(d)))
+			if down {
+				putPlatformFaults(t, s, map[string]any{"down": true})
+				waitElapsed(t, time.Now(), 2*propagationLimit)
+			}
+			for name, do := range map[string]request{"reads": read(d), "generations": generate(d, linkOutputLimit)} {
+				in.Process.Signal(t, syscall.SIGSTOP)
+				waitElapsed(t, time.Now(), paused)
+				in.Process.Signal(t, syscall.SIGCONT)
+				require.Equal(t, linkRequests, countServed(t, s, d, in, name, do), name)
+			}
+		})
+	}
+}
+
 // shutDown shuts down instances at the same time and waits until they exit.
 func shutDown(t *testing.T, s *system.System, instances []*system.Instance) {
 	t.Helper()
