--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -3,8 +3,8 @@
 // Callers retry such a poison request when its server crashes, so that a single one
 // can crash a whole fleet. Every request that was running when a backend server
 // crashed is a crash suspect, identified by the fingerprint of its body within its
-// workspace. After two crashes it is refused for some time. Instances exchange
-// suspects in their heartbeats, so it doesn't matter which instance gets the retry.
+// workspace. After two crashes it is refused for some time. Instances tell each other
+// of suspects, so it doesn't matter which instance gets the retry.
 //
 // Most suspects only ran beside the poison request. A suspect that finishes is
 // cleared. So that no request runs beside the poison request at two crashes, the
