--- a/internal/owner/expired_permit_test.go
+++ b/internal/owner/expired_permit_test.go
@@ -5,9 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"pollenspindle.example/pollenspindle/internal/admission"
 	"pollenspindle.example/pollenspindle/internal/config"
@@ -34,13 +32,7 @@
 		Services: []pollenspindle.Service{{Name: "desk", Kind: pollenspindle.ServicePlain}},
 		Servers:  []pollenspindle.Server{server},
 	})
-	o, err := New(Options{
-		AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: immediateLoads{},
-		Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: permitFor, PollInterval: time.Minute,
-		Log: zerolog.Nop(), Metrics: tally.NoopScope,
-	})
-	require.NoError(t, err)
-	defer o.workers.Release()
+	o := newTestOwner(t, snap, immediateLoads{}, permitFor)
 	now := time.Now()
 	authority := permit.Authority{Role: permit.RoleOwner}
 	e := o.entry(snap, &server)
--- a/internal/owner/poll_interval_test.go
+++ b/internal/owner/poll_interval_test.go
@@ -90,6 +90,19 @@
 }
 func (alwaysOwner) Roster() *roster.Roster { return &roster.Roster{} }
 
+// newTestOwner returns an owner without background work.
+func newTestOwner(t *testing.T, snap *config.Snapshot, loads Loads, permitLifetime time.Duration) *Owner {
+	t.Helper()
+	o, err := New(Options{
+		AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: loads,
+		Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: permitLifetime, PollInterval: time.Minute,
+		Log: zerolog.Nop(), Metrics: tally.NoopScope,
+	})
+	require.NoError(t, err)
+	t.Cleanup(o.workers.Release)
+	return o
+}
+
 // blockedLoads returns the report of a restarted, cold server once it is closed.
 type blockedLoads chan struct{}
 
@@ -111,13 +124,7 @@
 		Servers:  []pollenspindle.Server{server},
 	})
 	loads := make(blockedLoads)
-	o, err := New(Options{
-		AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: loads,
-		Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: time.Minute, PollInterval: time.Minute,
-		Log: zerolog.Nop(), Metrics: tally.NoopScope,
-	})
-	require.NoError(t, err)
-	defer o.workers.Release()
+	o := newTestOwner(t, snap, loads, time.Minute)
 	now := time.Now()
 	e := o.entry(snap, &server)
 	e.applyAuthority(now.Add(-time.Hour), permit.Authority{Role: permit.RoleOwner}, true)
--- a/internal/owner/settle_test.go
+++ b/internal/owner/settle_test.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"pollenspindle.example/pollenspindle/internal/admission"
 	"pollenspindle.example/pollenspindle/internal/config"
@@ -44,13 +42,7 @@
 			const fingerprint = 7
 			server := pollenspindle.Server{Name: "engine-1", Service: "briefing", Zone: "a", State: pollenspindle.ServerInService, ColdLimit: 2, WarmLimit: 8}
 			snap := config.NewSnapshot(1, pollenspindle.Config{Servers: []pollenspindle.Server{server}})
-			o, err := New(Options{
-				AuthoritySource: alwaysOwner{}, Config: func() *config.Snapshot { return snap }, Loads: immediateLoads{},
-				Policy: admission.Predicted{}, Suspects: NewSuspects(zerolog.Nop()), PermitLifetime: time.Minute, PollInterval: time.Minute,
-				Log: zerolog.Nop(), Metrics: tally.NoopScope,
-			})
-			require.NoError(t, err)
-			defer o.workers.Release()
+			o := newTestOwner(t, snap, immediateLoads{}, time.Minute)
 			now := time.Now()
 			e := o.entry(snap, &server)
 			e.applyAuthority(now.Add(-time.Hour), permit.Authority{Role: permit.RoleOwner}, true)
