Wait for the confirmation after a pause in the router, too

Cause: a request that has passed the wait at its arrival, and then waits for a permit or finds its permit expired as the process is paused, asks the router again, which refused it at once.

Which request it was isn't in the log.

The router now waits as the handlers do. TestAcquireWaitsForResume failed before and passes.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 type Members interface {
 	Roster() *roster.Roster
 	NewWorkAllowed(now time.Time) bool
+	AwaitResume(ctx context.Context)
 	CatchUp(ctx context.Context, address string) bool
 }
 
@@ -119,6 +120,10 @@
 // Acquire implements [permit.Acquirer].
 func (r *Router) Acquire(ctx context.Context, now time.Time, req permit.Request) (permit.Permit, error) {
 	if !r.opts.Members.NewWorkAllowed(now) {
+		// The process may have been paused while the request waited or used an earlier permit.
+		r.opts.Members.AwaitResume(ctx)
+	}
+	if !r.opts.Members.NewWorkAllowed(time.Now()) {
 		return permit.Permit{}, &permit.Refusal{Reason: permit.ReasonNotConfirmed, RetryAfter: defaultRetryAfter}
 	}
 	for {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -22,6 +22,7 @@
 
 func (allowedMembers) Roster() *roster.Roster               { return &roster.Roster{} }
 func (allowedMembers) NewWorkAllowed(time.Time) bool        { return true }
+func (allowedMembers) AwaitResume(context.Context)          {}
 func (allowedMembers) CatchUp(context.Context, string) bool { return false }
 
 // Guards against a refusal that comes only at the request's deadline although no
@@ -141,6 +142,29 @@
 	}
 }
 
+// pausedOwner implements Members: new work is allowed after a wait.
+type pausedOwner struct {
+	soleOwner
+	resumed *bool
+}
+
+func (o pausedOwner) NewWorkAllowed(time.Time) bool { return *o.resumed }
+func (o pausedOwner) AwaitResume(context.Context)   { *o.resumed = true }
+
+// Guards against refusing a request because the process was paused while the request waited.
+func TestAcquireWaitsForResume(t *testing.T) {
+	self := roster.Instance{ID: "i1", Zone: "a", Region: "r"}
+	members := pausedOwner{soleOwner{roster: roster.New(1, roster.Object{Number: 1, Instances: []roster.Instance{self}})}, new(bool)}
+	snap := config.NewSnapshot(1, declared())
+	r := router.New(router.Options{
+		Self: self, Members: members, Local: countingOwner{granted: map[string]int{}}, Policy: router.Predicted{}, Seed: 1, PermitLifetime: time.Second,
+		Config: func() *config.Snapshot { return snap }, Log: zerolog.Nop(), Metrics: tally.NoopScope,
+	})
+	now := time.Now()
+	_, err := r.Acquire(t.Context(), now, permit.Request{ID: "r", Service: "briefing", Model: "m", Workspace: "w", Deadline: now.Add(time.Hour)})
+	require.NoError(t, err)
+}
+
 // Guards against requests within a server's pause, and a Retry-After that ends within it.
 func TestPauseBindsNewRequestsAndPermits(t *testing.T) {
 	const pause = 3 * time.Second
--- a/internal/slopes/decisions.go
+++ b/internal/slopes/decisions.go
@@ -96,6 +96,7 @@
 
 func (s singleMember) Roster() *roster.Roster             { return s.r }
 func (singleMember) NewWorkAllowed(time.Time) bool        { return true }
+func (singleMember) AwaitResume(context.Context)          {}
 func (singleMember) CatchUp(context.Context, string) bool { return false }
 func (singleMember) Release([]*peerv1.Released)           {}
 
