Log the versions of servers that streams run on, and streams that callers resume

The lines of placements, of started streams and of moves didn't name the version of the server, and none said that a caller resumes a stream, and of which attempt: the hypotheses on streams with events of two versions couldn't be told apart. The header field Resumes is read for it.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -32,6 +32,9 @@
 	LengthHint  string
 	// LastEventID is the last event that the caller of a stream has received.
 	LastEventID string
+	// Resumes is the request ID of the attempt that brought the caller the first event of the stream
+	// that it resumes.
+	Resumes string
 	// Workspace tells a backend server the workspace of a request.
 	Workspace string
 	// ExpectInstance names the incarnation of a backend server that a request is meant for.
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -44,7 +44,7 @@
 	}
 	switch choice := choice.(type) {
 	case balancer.Picked:
-		s.log.Info().Str("request", r.id).Str("server", choice.Placement.Server.ID).Str("zone", choice.Placement.Server.Zone).
+		s.log.Info().Str("request", r.id).Str("server", choice.Placement.Server.ID).Str("version", choice.Placement.Server.Version).Str("zone", choice.Placement.Server.Zone).
 			Float64("load", choice.Score).Int("attempt", t.sends+1).Int("tokens", choice.Placement.Tokens).
 			Func(s.logExpected(r)).Msg("request placed")
 		return choice.Placement, nil
@@ -127,7 +127,7 @@
 	}
 	place := balancer.Placement{Server: *server, Tokens: req.RequiredTokens, PromptTokens: r.promptTokens, HandoverTokens: s.handoverTokens(r)}
 	s.opts.Balancer.Reserve(s.opts.Now(), place)
-	s.log.Info().Str("request", r.id).Str("server", id).Str("zone", server.Zone).Int("attempt", t.sends+1).
+	s.log.Info().Str("request", r.id).Str("server", id).Str("version", server.Version).Str("zone", server.Zone).Int("attempt", t.sends+1).
 		Int("tokens", place.Tokens).Func(s.logExpected(r)).Msg("request placed by the planner")
 	return place, nil
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -56,6 +56,8 @@
 	// promptTokens, expectedOutput and maxOutput are numbers of tokens.
 	promptTokens, expectedOutput, maxOutput int
 	lastEventID                             int64
+	// resumes is the ID of the attempt that brought the first event of the stream that the caller resumes.
+	resumes string
 	// hint and outputLimit are the caller's hint and limit of the output in tokens, 0 for none.
 	hint, outputLimit int
 	// lengthKey is the key of the learned output length; learned says that expectedOutput is learned.
@@ -187,6 +189,7 @@
 		r.startDeadline = r.start.Add(r.route.Timeout)
 	}
 	r.lastEventID, _ = strconv.ParseInt(string(c.GetHeader(s.fields.LastEventID)), 10, 64)
+	r.resumes = string(c.GetHeader(s.fields.Resumes))
 	prompt, maxTokens, _ := strings.Cut(string(c.GetHeader(s.fields.TokenCounts)), ",")
 	r.promptTokens, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	limit, err := strconv.Atoi(strings.TrimSpace(maxTokens))
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -239,7 +239,8 @@
 	cs.writer = &abortableWriter{ExtWriter: resp.NewChunkedBodyWriter(&cs.c.Response, cs.c.GetWriter()), conn: cs.c.GetConn()}
 	cs.c.Response.HijackWriter(cs.writer)
 	cs.s.recordOutcome(cs.stream.server(), cs.r, rollout.MetricAnswer, false, cs.s.opts.Now().Sub(cs.sentAt))
-	cs.s.log.Info().Str("request", cs.r.id).Str("server", cs.stream.server().ID).Dur("took", cs.s.opts.Now().Sub(cs.r.start)).Msg("stream started")
+	cs.s.log.Info().Str("request", cs.r.id).Str("server", cs.stream.server().ID).Str("version", cs.stream.server().Version).
+		Int64("after", cs.r.lastEventID).Str("resumes", cs.r.resumes).Dur("took", cs.s.opts.Now().Sub(cs.r.start)).Msg("stream started")
 }
 
 // resume continues a stream that broke off: on the engine that it was migrated to, from a copy of
@@ -343,7 +344,8 @@
 	if cs.s.silence == nil {
 		cs.switchTo(point.target)
 	}
-	cs.s.log.Info().Str("request", cs.r.id).Str("server", point.target.Server.ID).Int64("after", cs.stream.lastEventID()).Err(err).Msg("generation goes on")
+	cs.s.log.Info().Str("request", cs.r.id).Str("server", point.target.Server.ID).Str("version", point.target.Server.Version).
+		Int64("after", cs.stream.lastEventID()).Err(err).Msg("generation goes on")
 	return response, err
 }
 
