Confirm the incarnation of an engine before a begun stream goes on there

While the platform is silent the list of servers doesn't show that an engine has restarted under its ID, perhaps with another version. A stream of the listed version would have gone on there.

The engine's load report states its start. An instance whose list may be outdated reads it before it sends a begun stream, and takes an engine with another start for one of another version. With a fresh list nothing is asked. TestResumedStreamWhilePlatformIsSilent fails without the call (status 200 from the restarted engine).

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -131,6 +131,8 @@
 	Running     int
 	UsedTokens  int
 	TotalTokens int
+	// StartedAtMillis is when the engine started, in milliseconds since 1970; 0 if not reported.
+	StartedAtMillis int64
 	// Sequences are the running requests.
 	Sequences []Sequence
 }
--- a/internal/ingress/migrations.go
+++ b/internal/ingress/migrations.go
@@ -124,7 +124,7 @@
 // the size of the deployment.
 func (s *Server) pollReports(ctx context.Context, lastPolled map[string]time.Time) {
 	now := s.opts.Now()
-	if s.opts.State.Age(now, platformstate.Servers) < platformstate.ServersInterval+platformSilenceMargin {
+	if !s.serversOutdated(now) {
 		clear(lastPolled)
 		return
 	}
@@ -138,6 +138,12 @@
 	}
 }
 
+// serversOutdated reports whether the platform has been silent for so long that the list of servers may be
+// outdated.
+func (s *Server) serversOutdated(now time.Time) bool {
+	return s.opts.State.Age(now, platformstate.Servers) >= platformstate.ServersInterval+platformSilenceMargin
+}
+
 func (s *Server) pollReport(ctx context.Context, server platformstate.Server) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/originpeer"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
@@ -131,6 +133,29 @@
 	return !ok || v.allows(&listed)
 }
 
+// incarnationTimeout limits the load report that confirms an engine's incarnation.
+const incarnationTimeout = 300 * time.Millisecond
+
+// confirmIncarnation asks the engine that a begun stream is sent to whether it has restarted, perhaps with
+// another version, while the platform is silent: the list of servers doesn't show that.
+func (s *Server) confirmIncarnation(ctx context.Context, r *request, server platformstate.Server) error {
+	if r.origin.Load() == nil || !r.isGeneration() || server.Version == "" || server.StartedAtMillis == 0 || !s.serversOutdated(s.opts.Now()) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	_, body, err := s.upstream.Call(ctx, server.Address, http.MethodGet, s.opts.Dialect.Paths.Report, nil)
+	if err != nil {
+		return merry.Wrap(errOtherVersion, merry.WithCause(err))
+	}
+	report, err := s.opts.Dialect.DecodeReport(body)
+	if err != nil || report.StartedAtMillis != 0 && report.StartedAtMillis != server.StartedAtMillis {
+		s.log.Info().Str("request", r.id).Str("server", server.ID).Err(err).Msg("engine has restarted while the platform is silent")
+		return merry.Wrap(errOtherVersion, merry.WithCause(err))
+	}
+	return nil
+}
+
 // candidates returns the servers that a request may be sent to. Every choice of a server is made among
 // them.
 func (s *Server) candidates(r *request) []*platformstate.Server {
--- a/internal/ingress/origins_test.go
+++ b/internal/ingress/origins_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"testing"
@@ -129,3 +130,34 @@
 	}
 	require.Zero(t, other.runCount())
 }
+
+// Guards against a stream that goes on at an engine that has restarted with another version under its ID
+// while the platform is silent, and against refusing all streams then.
+func TestResumedStreamWhilePlatformIsSilent(t *testing.T) {
+	for name, tt := range map[string]struct {
+		startedAt int64
+		status    int
+	}{
+		"same incarnation": {1, http.StatusOK},
+		"restarted":        {2, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, engines := startVersions(t, "v1", "v2")
+			rest := engines[1].handle
+			engines[1].handle = func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/report" {
+					_ = json.NewEncoder(w).Encode(dialect.LoadReport{StartedAtMillis: tt.startedAt})
+					return
+				}
+				rest(w, r)
+			}
+			f.begin("llm", "llm-9", "v2")
+			f.clock.advance(platformstate.ServersInterval + 2*platformSilenceMargin)
+			resp := f.send("POST", "/check/1", "{}", "Last-Event-Id", "5", "T-Resumes", "id-0")
+			_, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Zero(t, engines[0].runCount())
+		})
+	}
+}
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -23,6 +23,9 @@
 	if !s.mayRunOn(r, &place.Server) {
 		return nil, merry.Wrap(errOtherVersion)
 	}
+	if err := s.confirmIncarnation(ctx, r, place.Server); err != nil {
+		return nil, err
+	}
 	sentAt := s.opts.Now()
 	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(sentAt, r, place, extra), stream)
 	if err == nil && s.isFrom(place.Server, r, response) {
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -147,7 +147,7 @@
 		others++
 		otherHeard = otherHeard || at.After(later)
 	}
-	platformSilent := d.s.opts.State.Age(now, platformstate.Servers) >= platformstate.ServersInterval+platformSilenceMargin
+	platformSilent := d.s.serversOutdated(now)
 	p.Deaf = platformSilent && others > 0 && !otherHeard && !p.EngineHeard
 	if known, ok := d.s.opts.State.Server(server.ID); ok && known.StartedAtMillis != server.StartedAtMillis {
 		// The engine has restarted, so its report would be that of another process.
