Find parts of prompts that crash servers, and refuse requests with them

Callers whose requests waited at such an engine got 502.

Cause: crash suspects are found by the hash of workspace, method, path and body. No two of these requests are alike, so each counted from zero.

Suspects are kept by part now, with the existing table and broadcasts. A server that crashes leaves the parts suspect of the requests that it hadn't begun to answer; an answer that begins clears all parts of its request, and an instance that has seen a part answered clears it for the others, once for each answer. A bad part can't be cleared. From two crashes on a part runs in one trial at a time over all instances, which its keeper, found by hashing, grants; after two failed trials it is refused, as long as requests with it come. Requests with several suspected parts wait until others tell which one it is. Without a keeper in reach nothing is tried. An instance that starts is sent the refused parts first. Each attempt is checked, not only the first one.

--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -12,6 +12,9 @@
 // backend servers of one availability zone crash together, the zone is the cause,
 // and the requests that ran on only one of them aren't suspects.
 //
+// Requests that crash servers may share only a part of their prompts. Parts are suspects
+// of their own: see [Table.CheckPart] and [Trials].
+//
 // # Usage
 //
 //	t := crashsuspect.NewTable(crashsuspect.DefaultParams)
@@ -57,6 +60,8 @@
 type Crash struct {
 	Name string    `json:"Name"`
 	At   time.Time `json:"At"`
+	// Trial says that the part was the only suspected one of its request, and in a trial.
+	Trial bool `json:"Trial,omitempty"`
 }
 
 // Entry holds the crashes of one request. Instances send entries to each other.
@@ -65,6 +70,16 @@
 	Crashes     []Crash `json:"Crashes"`
 	// ClearedAt is when the request last finished; earlier crashes don't count.
 	ClearedAt time.Time `json:"ClearedAt"`
+	// RefusedAt is about when a request with a refused part last came.
+	RefusedAt time.Time `json:"RefusedAt,omitzero"`
+	// Part says that the fingerprint is the key of a part of prompts.
+	Part bool `json:"Part,omitempty"`
+}
+
+func (e *Entry) clone() Entry {
+	out := *e
+	out.Crashes = slices.Clone(e.Crashes)
+	return out
 }
 
 // Verdict is the result of checking a request.
@@ -95,6 +110,9 @@
 
 func lastChange(e Entry) time.Time {
 	last := e.ClearedAt
+	if e.RefusedAt.After(last) {
+		last = e.RefusedAt
+	}
 	for _, c := range e.Crashes {
 		if c.At.After(last) {
 			last = c.At
@@ -110,13 +128,17 @@
 	if in.ClearedAt.After(e.ClearedAt) {
 		e.ClearedAt = in.ClearedAt
 	}
+	if in.RefusedAt.After(e.RefusedAt) {
+		e.RefusedAt = in.RefusedAt
+	}
 	for _, c := range in.Crashes {
 		e.add(c)
 	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(e.ClearedAt) })
-	// The newest crashes are enough to decide.
-	if over := len(e.Crashes) - keep; over > 0 {
-		e.Crashes = slices.Delete(e.Crashes, 0, over)
+	// The newest crashes and those in trials are enough to decide.
+	for len(e.Crashes) > keep {
+		oldest := max(0, slices.IndexFunc(e.Crashes, func(c Crash) bool { return !c.Trial }))
+		e.Crashes = slices.Delete(e.Crashes, oldest, oldest+1)
 	}
 }
 
@@ -125,7 +147,9 @@
 func (e *Entry) add(c Crash) {
 	i := slices.IndexFunc(e.Crashes, func(o Crash) bool { return o.Name == c.Name })
 	if i >= 0 {
+		c.Trial = c.Trial || e.Crashes[i].Trial
 		if !c.At.Before(e.Crashes[i].At) {
+			e.Crashes[i].Trial = c.Trial
 			return
 		}
 		e.Crashes = slices.Delete(e.Crashes, i, i+1)
--- /dev/null
+++ b/internal/crashsuspect/parts.go
@@ -0,0 +1,93 @@
+package crashsuspect
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// partCrashes is the number of crashes from which on a part of prompts is suspected. Parts that only
+	// run beside the cause seldom have two without an answer in between.
+	partCrashes = 2
+	// failedTrials is the number of crashes in trials after which a part is refused: an engine may crash for
+	// another reason once.
+	failedTrials = 2
+	// maxPartCrashes is the number of crashes that are kept of a part, and after which requests with several
+	// such parts aren't tried any more.
+	maxPartCrashes = 7
+)
+
+// PartKey returns the key of a part of prompts for a service, in the place of a fingerprint.
+func PartKey(service, part string) uint64 {
+	return xxhash.Sum64String("part\n" + service + "\n" + strings.ToLower(part))
+}
+
+// CheckPart returns whether requests with a part may run. A suspected part may run in one trial at a time,
+// over all instances.
+//
+// An engine that crashes as it begins to write an answer leaves all parts of the requests that wait there
+// suspect. The answer to any request clears its parts, so that only a part to which no engine can write
+// stays suspect.
+func (t *Table) CheckPart(now time.Time, key uint64) Verdict {
+	e, ok := t.entries[key]
+	if !ok || t.expired(now, e.Entry) {
+		return Clear
+	}
+	return partVerdict(&e.Entry)
+}
+
+func partVerdict(e *Entry) Verdict {
+	trials := 0
+	for _, c := range e.Crashes {
+		if c.Trial {
+			trials++
+		}
+	}
+	switch {
+	case trials >= failedTrials:
+		return Refused
+	case len(e.Crashes) >= partCrashes:
+		return Suspected
+	}
+	return Clear
+}
+
+// refusedInterval is the minimum time between two records that a part is still refused.
+const refusedInterval = 10 * time.Second
+
+// RecordRefused keeps the entry of a refused part for another retention time, as requests with it still come.
+func (t *Table) RecordRefused(now time.Time, key uint64) {
+	if e, ok := t.entries[key]; ok && now.Sub(e.RefusedAt) >= refusedInterval {
+		e.RefusedAt = now
+		t.reposition(e)
+	}
+}
+
+// Untryable reports whether requests in which a part is one of several suspected ones mustn't be tried any
+// more: a trial doesn't tell which of them is the cause.
+func (t *Table) Untryable(key uint64) bool {
+	e, ok := t.entries[key]
+	return ok && len(e.Crashes) >= maxPartCrashes
+}
+
+// Get returns the entry of a fingerprint or a part.
+func (t *Table) Get(key uint64) (Entry, bool) {
+	e, ok := t.entries[key]
+	if !ok {
+		return Entry{}, false
+	}
+	return e.clone(), true
+}
+
+// RefusedParts returns the entries of parts that are refused, at most n.
+func (t *Table) RefusedParts(now time.Time, n int) []Entry {
+	var out []Entry
+	for key, e := range t.entries {
+		if len(out) < n && e.Part && t.CheckPart(now, key) == Refused {
+			out = append(out, e.clone())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/crashsuspect/parts_test.go
@@ -0,0 +1,84 @@
+package crashsuspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a bad part that isn't refused, and against parts that are refused because they only ran
+// beside it.
+func TestCheckPart(t *testing.T) {
+	at := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	crash := func(n int, trial bool) Entry {
+		return Entry{Fingerprint: 1, Part: true, Crashes: []Crash{{Name: CrashName(fmt.Sprint("zone-", n%3), fmt.Sprint("engine-", n), "1"), At: at.Add(time.Duration(n) * time.Second), Trial: trial}}}
+	}
+	began := func(n int) Entry {
+		return Entry{Fingerprint: 1, Part: true, ClearedAt: at.Add(time.Duration(n) * time.Second)}
+	}
+	many := func(n int) (out []Entry) {
+		for i := range n {
+			out = append(out, crash(i, false))
+		}
+		return out
+	}
+	for name, tt := range map[string]struct {
+		entries []Entry
+		after   time.Duration
+		want    Verdict
+	}{
+		"unknown":                            {nil, 0, Clear},
+		"one crash":                          {many(1), 0, Clear},
+		"the same crash seen by many":        {[]Entry{crash(1, false), crash(1, false), crash(1, false)}, 0, Clear},
+		"two crashes":                        {many(2), 0, Suspected},
+		"two crashes, one a trial":           {[]Entry{crash(1, false), crash(2, true)}, 0, Suspected},
+		"two failed trials":                  {[]Entry{crash(1, true), crash(2, true)}, 0, Refused},
+		"a trial that others saw without it": {[]Entry{crash(1, true), crash(2, true), crash(2, false)}, 0, Refused},
+		"many crashes without a trial":       {many(3 * maxPartCrashes), 0, Suspected},
+		"answered in between":                {[]Entry{crash(1, false), crash(2, false), began(3)}, 0, Clear},
+		"answered, told in another order":    {[]Entry{began(3), crash(2, false), crash(1, false)}, 0, Clear},
+		"crashes after an answer":            {[]Entry{crash(1, false), began(2), crash(3, false), crash(4, false)}, 0, Suspected},
+		"long ago":                           {many(maxPartCrashes), DefaultParams.Retention + time.Hour, Clear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(DefaultParams)
+			for _, e := range tt.entries {
+				table.Merge(at.Add(10*time.Second), []Entry{e})
+			}
+			require.Equal(t, tt.want, table.CheckPart(at.Add(10*time.Second+tt.after), 1))
+		})
+	}
+	t.Run("kept while requests come", func(t *testing.T) {
+		table, now := NewTable(DefaultParams), at.Add(10*time.Second)
+		table.Merge(now, []Entry{crash(1, true), crash(2, true)})
+		for range 10 {
+			now = now.Add(DefaultParams.Retention / 2)
+			require.Equal(t, Refused, table.CheckPart(now, 1))
+			table.RecordRefused(now, 1)
+		}
+		require.Len(t, table.RefusedParts(now, 8), 1)
+		started := NewTable(DefaultParams)
+		started.Merge(now, table.RefusedParts(now, 8))
+		require.Equal(t, Refused, started.CheckPart(now, 1))
+	})
+}
+
+// Guards against two trials of a part at a time, and against trials that never end.
+func TestTrials(t *testing.T) {
+	now := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	trials := NewTrials()
+	require.True(t, trials.Begin(now, 1, "a"))
+	require.False(t, trials.Begin(now, 1, "b"))
+	require.True(t, trials.Begin(now, 2, "b"))
+	trials.End(now, 1, "b", false)
+	require.False(t, trials.Begin(now, 1, "b"), "only the holder ends a trial")
+	trials.End(now, 1, "a", true)
+	require.False(t, trials.Begin(now, 1, "b"), "requests under way have to end first")
+	now = now.Add(failedTrialInterval)
+	require.True(t, trials.Begin(now, 1, "b"))
+	trials.End(now, 1, "b", false)
+	require.True(t, trials.Begin(now, 1, "c"))
+	require.True(t, trials.Begin(now.Add(trialTTL), 1, "d"), "the holder has ended")
+}
--- a/internal/crashsuspect/table.go
+++ b/internal/crashsuspect/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"slices"
 	"time"
 )
 
@@ -84,7 +83,7 @@
 			t.reposition(e)
 			continue
 		}
-		out = append(out, Entry{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes), ClearedAt: e.ClearedAt})
+		out = append(out, e.clone())
 	}
 	return out
 }
@@ -106,10 +105,14 @@
 	e, ok := t.entries[in.Fingerprint]
 	if !ok {
 		t.evictIfFull()
-		e = &record{Entry: Entry{Fingerprint: in.Fingerprint}}
+		e = &record{Entry: Entry{Fingerprint: in.Fingerprint, Part: in.Part}}
 		t.entries[in.Fingerprint] = e
 	}
-	e.merge(in, t.params.Crashes)
+	keep := t.params.Crashes
+	if e.Part {
+		keep = maxPartCrashes
+	}
+	e.merge(in, keep)
 	t.reposition(e)
 }
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -172,6 +172,9 @@
 	DecodeRollout       func(o objectapi.Object) (Rollout, error)
 	EncodeRolloutStatus func(targetVersion string, stage rollout.Stage) []byte
 	DecodeReport        func(body []byte) (LoadReport, error)
+	// DecodePrefix decodes the value of [Fields.Prefix]: the IDs of the parts of a prompt in order. The
+	// last one belongs to the request or its session alone.
+	DecodePrefix func(value string) []string
 	// DecodeServerLoad decodes the value of [Fields.ServerLoad], or reports that it is invalid.
 	DecodeServerLoad func(value string) (ServerLoad, bool)
 	// EncodeMigration encodes the request for a migration; DecodeMigration decodes its response.
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -107,13 +107,18 @@
 		if !now.Before(r.startDeadline) {
 			return s.giveUp(c, r, t, timeoutFailure(t))
 		}
+		if f := s.admitParts(ctx, r); f != nil {
+			return s.giveUp(c, r, t, f)
+		}
 		place, refusal := s.chooseServer(ctx, now, r, t)
 		if refusal != nil {
+			s.endTrials(r, false)
 			return s.giveUp(c, r, t, refusal)
 		}
 		t.sentAt = s.opts.Now()
 		res := s.attempt(ctx, c, r, place, t)
 		again, err := s.handleResult(ctx, c, r, place, t, res)
+		s.endTrialsWith(r, res)
 		if !again {
 			return err
 		}
@@ -234,6 +239,7 @@
 	case streamDone:
 		return false, res.err
 	case responded:
+		s.recordAnswerBegun(r)
 		t.sends++
 		t.possibleRuns++
 		s.recordOutcome(place.Server, r, rollout.MetricAnswer, res.response.Status >= http.StatusInternalServerError, now.Sub(t.sentAt))
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -68,6 +68,11 @@
 	lengthKey   outputlength.Key
 	learned     bool
 	fingerprint uint64
+	// parts holds the keys of the parts of the prompt that other requests may share, trials the suspected
+	// ones that the request tries. begun is set once a server has begun to answer.
+	parts  []uint64
+	trials atomic.Pointer[[]uint64]
+	begun  atomic.Bool
 	// reserved is the number of bytes that the request takes from the memory budget.
 	reserved int
 }
@@ -118,6 +123,7 @@
 		return nil, s.memoryFailure()
 	}
 	r.body = body
+	r.parts = s.promptParts(r)
 	r.fingerprint = xxhash.Sum64(append([]byte(r.workspace+"\n"+r.method+" "+r.uri+"\n"), body...))
 	return r, nil
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -51,6 +51,7 @@
 	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
+	"pollenspindle.example/pollenspindle/internal/trialpeer"
 	"pollenspindle.example/pollenspindle/internal/upstream"
 )
 
@@ -116,6 +117,8 @@
 	Origins *originpeer.Peer
 	// Suspects holds the requests that crash servers; nil for none.
 	Suspects *Suspects
+	// Trials lets instances try a suspected part of prompts one at a time; nil if there are no others.
+	Trials *trialpeer.Peer
 	// Limits holds the limits that backend servers have named.
 	Limits *pushback.Limits
 	// Pauses holds until when backend servers want no request from this instance.
@@ -169,6 +172,8 @@
 	running   atomic.Int64
 	// roomWaiters counts the requests that wait for room on brittle servers.
 	roomWaiters atomic.Int64
+	// trialWaiters counts the requests that wait for a trial.
+	trialWaiters atomic.Int64
 }
 
 // NewServer returns a server that is ready to run.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -186,6 +186,7 @@
 				return errFirstEventTimeout
 			}
 			if cs.writer == nil {
+				cs.s.recordAnswerBegun(cs.r)
 				cs.writeHead(response)
 			}
 			return nil
@@ -200,6 +201,7 @@
 			continue
 		}
 		if cs.writer == nil {
+			cs.s.recordAnswerBegun(cs.r)
 			cs.recordOrigin(ctx)
 			cs.writeHead(response)
 		}
--- /dev/null
+++ b/internal/ingress/suspect_parts.go
@@ -0,0 +1,327 @@
+package ingress
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"pollenspindle.example/pollenspindle/internal/answer"
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
+	"pollenspindle.example/pollenspindle/internal/objectapi"
+	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/retry"
+)
+
+const (
+	// maxTrialWait is how long a request with a suspected part waits for its trial: about as long as another
+	// trial takes to begin its answer.
+	maxTrialWait      = 700 * time.Millisecond
+	trialPollInterval = 70 * time.Millisecond
+	// maxTrialWaiters limits the requests that wait for a trial.
+	maxTrialWaiters = 256
+	// unclearInterval is how long a request with several suspected parts is held back since their last
+	// crash: other requests that hold only one of them tell which one it is.
+	unclearInterval = 2 * time.Second
+	// trialRetryAfter is the Retry-After of a request whose trial couldn't begin, with a random part added.
+	trialRetryAfter, trialRetryJitter = time.Second, time.Second
+	// maxVouchDelay spreads the answers of instances that know a suspected part to be sound: the first one
+	// is enough.
+	maxVouchDelay = 150 * time.Millisecond
+	// answeredParts is the number of parts in each of two generations that are known to have been answered.
+	answeredParts = 4096
+)
+
+// partSet holds the parts of prompts that servers have begun to answer, without the oldest ones.
+type partSet struct{ newer, older map[uint64]struct{} }
+
+func newPartSet() *partSet { return &partSet{map[uint64]struct{}{}, map[uint64]struct{}{}} }
+
+func (p *partSet) add(part uint64) {
+	if len(p.newer) >= answeredParts {
+		p.newer, p.older = map[uint64]struct{}{}, p.newer
+	}
+	p.newer[part] = struct{}{}
+}
+
+// take reports whether the part is in the set, and removes it.
+func (p *partSet) take(part uint64) bool {
+	_, newer := p.newer[part]
+	_, older := p.older[part]
+	delete(p.newer, part)
+	delete(p.older, part)
+	return newer || older
+}
+
+// promptParts returns the keys of the parts of a prompt that other requests may share: all but the last.
+func (s *Server) promptParts(r *request) []uint64 {
+	if s.opts.Suspects == nil || s.opts.Dialect.DecodePrefix == nil || !r.isGeneration() {
+		return nil
+	}
+	var ids []string
+	for _, h := range r.header {
+		if strings.EqualFold(h.Name, s.fields.Prefix) {
+			ids = append(ids, s.opts.Dialect.DecodePrefix(h.Value)...)
+		}
+	}
+	if len(ids) < 2 {
+		return nil
+	}
+	keys := make([]uint64, 0, len(ids)-1)
+	for _, id := range ids[:len(ids)-1] {
+		keys = append(keys, crashsuspect.PartKey(r.service.Name, id))
+	}
+	return keys
+}
+
+// partsVerdict is what is known of the parts of a request.
+type partsVerdict struct {
+	verdict crashsuspect.Verdict
+	// suspected holds the suspected parts, in order; lastCrash is when they last crashed a server.
+	suspected []uint64
+	lastCrash time.Time
+}
+
+// checkParts returns whether a request with these parts may run.
+func (s *Suspects) checkParts(now time.Time, parts []uint64) partsVerdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v partsVerdict
+	untryable := 0
+	for _, part := range parts {
+		switch s.table.CheckPart(now, part) {
+		case crashsuspect.Refused:
+			s.table.RecordRefused(now, part)
+			return partsVerdict{verdict: crashsuspect.Refused}
+		case crashsuspect.Suspected:
+			v.verdict = crashsuspect.Suspected
+			v.suspected = append(v.suspected, part)
+			if s.table.Untryable(part) {
+				untryable++
+			}
+			if e, ok := s.table.Get(part); ok && e.Crashes[len(e.Crashes)-1].At.After(v.lastCrash) {
+				v.lastCrash = e.Crashes[len(e.Crashes)-1].At
+			}
+		case crashsuspect.Clear:
+		}
+	}
+	if untryable > 1 && untryable == len(v.suspected) {
+		return partsVerdict{verdict: crashsuspect.Refused}
+	}
+	slices.Sort(v.suspected)
+	v.suspected = slices.Compact(v.suspected)
+	return v
+}
+
+// PartRefused reports whether requests with a part must not run.
+func (s *Suspects) PartRefused(now time.Time, part uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.CheckPart(now, part) == crashsuspect.Refused
+}
+
+// Entry returns what is known of a part.
+func (s *Suspects) Entry(part uint64) (crashsuspect.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Get(part)
+}
+
+// recordPartsCrash records that a server crashed before it began to answer a request with these parts.
+// Parts that were answered here since the last crash are left out. trial is the part that was tried, 0 for
+// none.
+func (s *Suspects) recordPartsCrash(now time.Time, server platformstate.Server, parts []uint64, trial uint64) {
+	name := crashName(server)
+	var entries []crashsuspect.Entry
+	s.mu.Lock()
+	for _, part := range parts {
+		if s.answered.take(part) {
+			continue
+		}
+		entries = append(entries, crashsuspect.Entry{
+			Fingerprint: part, Part: true, Crashes: []crashsuspect.Crash{{Name: name, At: now, Trial: trial == part}},
+		})
+	}
+	s.mu.Unlock()
+	if len(entries) == 0 {
+		return
+	}
+	s.Merge(now, entries)
+	s.Broadcast(entries)
+}
+
+// recordPartsAnswered records that a server has begun to answer a request with these parts, and clears
+// those that are suspects.
+func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64) {
+	s.mu.Lock()
+	for _, part := range parts {
+		s.answered.add(part)
+	}
+	s.mu.Unlock()
+	s.clearParts(now, parts)
+}
+
+// clearParts clears those of the parts that have crashed servers.
+func (s *Suspects) clearParts(now time.Time, parts []uint64) {
+	var cleared []crashsuspect.Entry
+	s.mu.Lock()
+	for _, part := range parts {
+		if e, ok := s.table.Get(part); ok && len(e.Crashes) > 0 {
+			cleared = append(cleared, clearedEntry(now, &e))
+		}
+	}
+	s.mu.Unlock()
+	if len(cleared) > 0 {
+		s.Merge(now, cleared)
+		s.Broadcast(cleared)
+	}
+}
+
+// clearedEntry returns the entry that clears all known crashes of a part, also those that other instances
+// saw by a clock that is ahead.
+func clearedEntry(now time.Time, e *crashsuspect.Entry) crashsuspect.Entry {
+	at := now
+	if last := e.Crashes[len(e.Crashes)-1].At; last.After(at) {
+		at = last
+	}
+	return crashsuspect.Entry{Fingerprint: e.Fingerprint, Part: true, ClearedAt: at}
+}
+
+// vouch clears suspected parts that were answered here, unless another instance does so before. An answer
+// vouches once: a part that has turned bad since would otherwise never be refused.
+func (s *Suspects) vouch(entries []crashsuspect.Entry, now func() time.Time) {
+	known := map[uint64]bool{}
+	s.mu.Lock()
+	for _, e := range entries {
+		if e.Part && s.table.CheckPart(now(), e.Fingerprint) == crashsuspect.Suspected && s.answered.take(e.Fingerprint) {
+			known[e.Fingerprint] = true
+		}
+	}
+	s.mu.Unlock()
+	if len(known) == 0 {
+		return
+	}
+	time.AfterFunc(rand.N(maxVouchDelay), func() {
+		s.mu.Lock()
+		var parts []uint64
+		for part := range maps.Keys(known) {
+			if s.table.CheckPart(now(), part) == crashsuspect.Suspected {
+				parts = append(parts, part)
+			} else {
+				s.answered.add(part)
+			}
+		}
+		s.mu.Unlock()
+		s.clearParts(now(), parts)
+	})
+}
+
+// admitParts lets a request run whose parts may crash servers: not if one of them does, and in a trial if
+// that isn't known yet. It waits a moment for its trial.
+func (s *Server) admitParts(ctx context.Context, r *request) *answer.Failure {
+	if len(r.parts) == 0 {
+		return nil
+	}
+	until := s.opts.Now().Add(min(maxTrialWait, r.patience(s.opts.Now())))
+	for {
+		now := s.opts.Now()
+		v := s.opts.Suspects.checkParts(now, r.parts)
+		switch v.verdict {
+		case crashsuspect.Clear:
+			return nil
+		case crashsuspect.Refused:
+			return s.partRefusedFailure(r)
+		case crashsuspect.Suspected:
+		}
+		if s.beginTrial(ctx, now, r, v) {
+			return nil
+		}
+		if !s.awaitTrial(ctx, until) {
+			break
+		}
+	}
+	s.opts.Scope.Counter("part_trials_refused").Inc(1)
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "another request finds out whether a part of this one crashes backend servers")
+	f.RetryAfter = trialRetryAfter + rand.N(trialRetryJitter)
+	return f
+}
+
+// awaitTrial waits until the next attempt to begin a trial, and reports whether there is one.
+func (s *Server) awaitTrial(ctx context.Context, until time.Time) bool {
+	waiters := s.trialWaiters.Add(1)
+	defer s.trialWaiters.Add(-1)
+	return waiters <= maxTrialWaiters && s.opts.Now().Add(trialPollInterval).Before(until) && objectapi.Sleep(ctx, trialPollInterval) == nil
+}
+
+// beginTrial begins the trials of all suspected parts of a request, or of none.
+func (s *Server) beginTrial(ctx context.Context, now time.Time, r *request, v partsVerdict) bool {
+	if s.opts.Trials == nil {
+		return true
+	}
+	if len(v.suspected) > 1 && now.Sub(v.lastCrash) < unclearInterval {
+		return false
+	}
+	for i, part := range v.suspected {
+		if !s.opts.Trials.Begin(ctx, part, r.id) {
+			for _, begun := range v.suspected[:i] {
+				s.opts.Trials.End(begun, r.id, false)
+			}
+			return false
+		}
+	}
+	// The keeper may have known more.
+	if s.opts.Suspects.checkParts(s.opts.Now(), v.suspected).verdict == crashsuspect.Refused {
+		r.trials.Store(&v.suspected)
+		s.endTrials(r, false)
+		return false
+	}
+	r.trials.Store(&v.suspected)
+	s.opts.Scope.Counter("part_trials").Inc(1)
+	s.log.Info().Str("request", r.id).Int("parts", len(v.suspected)).Msg("request with suspected parts tried")
+	return true
+}
+
+// endTrials ends the trials of a request.
+func (s *Server) endTrials(r *request, crashed bool) {
+	if parts := r.trials.Swap(nil); parts != nil {
+		for _, part := range *parts {
+			s.opts.Trials.End(part, r.id, crashed)
+		}
+	}
+}
+
+// endTrialsWith ends the trials of a request whose attempt has ended. Those whose answer began have ended
+// before.
+func (s *Server) endTrialsWith(r *request, res result) {
+	lost, ok := res.(failed)
+	s.endTrials(r, ok && lost.cause == retry.CauseLost)
+}
+
+// triedPart returns the part that a request tries alone; 0 if there is none.
+func (r *request) triedPart() uint64 {
+	if parts := r.trials.Load(); parts != nil && len(*parts) == 1 {
+		return (*parts)[0]
+	}
+	return 0
+}
+
+// recordAnswerBegun records that a server has begun to answer a request: no part of it crashes servers.
+func (s *Server) recordAnswerBegun(r *request) {
+	r.begun.Store(true)
+	if len(r.parts) == 0 {
+		return
+	}
+	s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts)
+	s.endTrials(r, false)
+}
+
+func (s *Server) partRefusedFailure(r *request) *answer.Failure {
+	s.opts.Scope.Counter("part_refused").Inc(1)
+	s.log.Warn().Str("request", r.id).Str("service", r.serviceName()).Msg("request refused, a part of it crashes servers")
+	f := answer.NotRun(http.StatusServiceUnavailable, answer.CodeBackendRefused, "backend servers crash on a part of this request")
+	f.RetryAfter = suspectRetryAfter
+	return f
+}
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -35,16 +35,25 @@
 
 	mu    sync.Mutex
 	table *crashsuspect.Table
+	// answered holds the parts that vouch for themselves.
+	answered *partSet
 }
 
 // NewSuspects returns a Suspects without entries.
 func NewSuspects() *Suspects {
 	p := crashsuspect.DefaultParams
 	p.Crashes, p.Retention = suspectCrashLimit, suspectRetention
-	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, table: crashsuspect.NewTable(p)}
+	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, table: crashsuspect.NewTable(p), answered: newPartSet()}
 }
 
-// Merge adds the entries of another instance.
+// MergeReceived adds the entries of another instance, and clears those parts for all that this instance
+// knows to be sound.
+func (s *Suspects) MergeReceived(now time.Time, entries []crashsuspect.Entry) {
+	s.Merge(now, entries)
+	s.vouch(entries, time.Now)
+}
+
+// Merge adds entries.
 func (s *Suspects) Merge(now time.Time, entries []crashsuspect.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,7 +64,7 @@
 func (s *Suspects) Newest(now time.Time) []crashsuspect.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Newest(now, maxSuspectsSent)
+	return append(s.table.RefusedParts(now, maxSuspectsSent), s.table.Newest(now, maxSuspectsSent)...)
 }
 
 func (s *Suspects) check(now time.Time, fingerprint uint64) crashsuspect.Verdict {
@@ -66,12 +75,15 @@
 
 // recordCrash records that a request was running on a server when it crashed.
 func (s *Suspects) recordCrash(now time.Time, server platformstate.Server, fingerprint uint64) {
-	name := crashsuspect.CrashName(server.Zone, server.ID, strconv.FormatInt(server.StartedAtMillis, 10))
-	entry := crashsuspect.Entry{Fingerprint: fingerprint, Crashes: []crashsuspect.Crash{{Name: name, At: now}}}
+	entry := crashsuspect.Entry{Fingerprint: fingerprint, Crashes: []crashsuspect.Crash{{Name: crashName(server), At: now}}}
 	s.Merge(now, []crashsuspect.Entry{entry})
 	s.Broadcast([]crashsuspect.Entry{entry})
 }
 
+func crashName(server platformstate.Server) string {
+	return crashsuspect.CrashName(server.Zone, server.ID, strconv.FormatInt(server.StartedAtMillis, 10))
+}
+
 // clear clears a request that has completed.
 func (s *Suspects) clear(now time.Time, fingerprint uint64) {
 	if s.check(now, fingerprint) == crashsuspect.Clear {
@@ -100,6 +112,7 @@
 	if s.opts.Suspects == nil {
 		return
 	}
+	begun, trial := r.begun.Load(), r.triedPart()
 	if known, ok := s.opts.State.Server(server.ID); ok && known.Leaving {
 		return
 	}
@@ -112,8 +125,11 @@
 		if s.opts.LinksLost() {
 			return
 		}
-		s.log.Info().Str("request", r.id).Str("server", server.ID).Err(err).Msg("server crashed while running a request")
+		s.log.Info().Str("request", r.id).Str("server", server.ID).Bool("begun", begun).Int("parts", len(r.parts)).Err(err).Msg("server crashed while running a request")
 		s.opts.Suspects.recordCrash(s.opts.Now(), server, r.fingerprint)
+		if !begun {
+			s.opts.Suspects.recordPartsCrash(s.opts.Now(), server, r.parts, trial)
+		}
 	})
 }
 
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -33,6 +33,7 @@
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
+	"pollenspindle.example/pollenspindle/internal/trialpeer"
 )
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
@@ -97,8 +98,15 @@
 	}
 	in.suspects = ingress.NewSuspects()
 	in.suspects.Broadcast = func(entries []crashsuspect.Entry) { in.gossip.BroadcastSuspects(entries) }
+	in.trials, err = trialpeer.New(trialpeer.Options{
+		Self: cfg.Instance, Table: in.table, Key: key, Entry: in.suspects.Entry, Merge: in.suspects.Merge, Refused: in.suspects.PartRefused,
+		Log: telemetry.ComponentLogger(in.tel.Log, "trials"), Now: time.Now,
+	})
+	if err != nil {
+		return err
+	}
 	in.gossip, err = gossip.New(gossip.Options{
-		ApplySuspects: in.suspects.Merge, Suspects: in.suspects.Newest, Limits: in.limits,
+		ApplySuspects: in.suspects.MergeReceived, Suspects: in.suspects.Newest, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
 		Seeds: in.seeds(), ServeBytesPerSecond: int(cfg.LinkMegabits * bytesPerMegabit * servedLinkShare),
 		Status: in.status, Handlers: in.handlers(),
@@ -191,6 +199,7 @@
 	all := in.planner.Handlers()
 	maps.Copy(all, in.outliers.Handlers())
 	maps.Copy(all, in.origins.Handlers())
+	maps.Copy(all, in.trials.Handlers())
 	all[dialpeer.Path] = in.dialPeer
 	if in.lengths != nil {
 		maps.Copy(all, in.lengths.Handlers())
@@ -251,7 +260,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone, Dial: in.dialer.Dial, LinksLost: in.linksLost,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
+		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Trials: in.trials, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
 		MemoryBytes: int64(cfg.MemoryMegabytes) << 20, DetectSilence: cfg.DetectSilence,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: time.Now,
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -40,6 +40,7 @@
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/settings"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
+	"pollenspindle.example/pollenspindle/internal/trialpeer"
 	"pollenspindle.example/pollenspindle/pkg/iostreams"
 )
 
@@ -121,6 +122,7 @@
 	lengths    *lengthpeer.Peer
 	origins    *originpeer.Peer
 	suspects   *ingress.Suspects
+	trials     *trialpeer.Peer
 	limits     *pushback.Limits
 	pauses     *pushback.Pauses
 	brittle    *pushback.Brittle
@@ -230,6 +232,7 @@
 	}
 	in.server.Close()
 	in.origins.Close()
+	in.trials.Close()
 	in.dialPeer.Close()
 }
 
