Take an unframed stream without an event for broken off

A stream that has neither a length nor chunks ends with its connection. A server that ended after the head and before its first event looked like one that had answered: the caller got a complete, empty stream with status 200, a resumable stream wasn't tried elsewhere, and the parts of the request counted as answered.

An unframed stream that ends before its first event is broken off now, unless the caller has events of it already: the rest of those may be empty.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -186,7 +186,7 @@
 	if !r.SkipBody && r.Header.ContentLength() > c.opts.MaxResponseBytes {
 		return merry.Wrap(ErrTooLarge)
 	}
-	if r.isCloseDelimited() {
+	if r.IsCloseDelimited() {
 		err := r.readCloseDelimited(c.opts.MaxResponseBytes)
 		r.releaseConn(true)
 		return err
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -33,7 +33,7 @@
 
 // Body returns the body of a response that was requested with [Call.Stream].
 func (r *Response) Body() io.Reader {
-	if r.isCloseDelimited() {
+	if r.IsCloseDelimited() {
 		return closeDelimitedBody{r.conn}
 	}
 	return r.BodyStream()
@@ -42,9 +42,9 @@
 // codecIdentity is the content length with which the codec marks a close-delimited body.
 const codecIdentity = -2
 
-// isCloseDelimited reports whether the end of the connection is the end of the body. Responses
+// IsCloseDelimited reports whether the end of the connection is the end of the body. Responses
 // without a body need no length either and are excluded.
-func (r *Response) isCloseDelimited() bool {
+func (r *Response) IsCloseDelimited() bool {
 	return r.Header.ContentLength() == codecIdentity && !r.SkipBody && !hasNoBody(r.StatusCode())
 }
 
@@ -98,7 +98,7 @@
 		// The codec would read a streamed body to its end to reuse the connection; the end of a
 		// generation can be minutes away.
 		r.conn.Close()
-		if r.isCloseDelimited() {
+		if r.IsCloseDelimited() {
 			r.stream = false
 			r.release()
 			return
@@ -119,7 +119,7 @@
 // Drain reads what follows the content of a streamed body, so that Close keeps the connection for
 // another exchange. It waits only briefly, because the end may never arrive on a broken link.
 func (r *Response) Drain() {
-	if !r.stream || r.isCloseDelimited() || r.conn.SetReadTimeout(drainTimeout) != nil {
+	if !r.stream || r.IsCloseDelimited() || r.conn.SetReadTimeout(drainTimeout) != nil {
 		return
 	}
 	var rest [1]byte
@@ -136,7 +136,7 @@
 }
 
 func (r *Response) openBody() error {
-	if r.isCloseDelimited() {
+	if r.IsCloseDelimited() {
 		r.stream = true
 		return nil
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -486,3 +486,15 @@
 		})
 	}
 }
+
+// addServers adds backend servers with a handler of their own responses.
+func (f *fixture) addServers(handle http.HandlerFunc, ids ...string) {
+	for _, id := range ids {
+		h := httptest.NewServer(handle)
+		f.t.Cleanup(h.Close)
+		service, _, _ := strings.Cut(id, "-")
+		f.servers = append(f.servers, dialect.Server{ID: id, Service: service, Zone: "zone-a", Slots: 6, Address: strings.TrimPrefix(h.URL, "http://")})
+	}
+	version, _ := f.state.Version(platformstate.Servers)
+	f.state.ReplaceServers(f.clock.now(), version+1, f.servers)
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -182,6 +182,10 @@
 			if cs.stream.isCuttingOver() && !cs.endedDespiteCutover(ctx) {
 				return eventstream.ErrTruncated
 			}
+			if cs.writer == nil && cs.stream.lastEventID() == 0 && response.IsCloseDelimited() {
+				// A server that crashes before its first event ends the connection in the same way.
+				return merry.Wrap(eventstream.ErrTruncated)
+			}
 			if !cs.stream.acceptEvent() {
 				return errFirstEventTimeout
 			}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -85,6 +85,10 @@
 // Stream returns the body of a streamed response.
 func (r *Response) Stream() io.Reader { return r.resp.Body() }
 
+// IsCloseDelimited reports whether the body ends with its connection, so that its end doesn't show that
+// it is complete.
+func (r *Response) IsCloseDelimited() bool { return r.resp.IsCloseDelimited() }
+
 // Abort interrupts a read of the stream from another goroutine.
 func (r *Response) Abort() { r.resp.Abort() }
 
