Pass on resets in the fault proxy, and no end of a silent connection

The proxy that stands for an instance's link turned the reset of a crashed server into a normal end, and passed on the end of a connection that it had made silent after dropping its data. A network does neither.

Down is new: it resets the connections and refuses new ones for a while, as a server that has crashed does.

--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -10,8 +10,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,18 +33,23 @@
 	DropResponses
 )
 
-const copyBufferSize = 32 << 10
+const (
+	copyBufferSize      = 32 << 10
+	listenRetryInterval = 50 * time.Millisecond
+)
 
 // Proxy relays TCP connections to one target.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	target  string
+	address string
 
-	mu    sync.Mutex
-	mode  Mode
-	delay time.Duration
-	open  map[*link]struct{}
-	wg    sync.WaitGroup
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	mode     Mode
+	delay    time.Duration
+	open     map[*link]struct{}
+	wg       sync.WaitGroup
 }
 
 // link is one relayed connection.
@@ -59,14 +67,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, open: map[*link]struct{}{}}
-	p.wg.Go(p.accept)
+	p := &Proxy{address: listener.Addr().String(), listener: listener, target: target, open: map[*link]struct{}{}}
+	p.wg.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string {
-	return p.listener.Addr().String()
+	return p.address
 }
 
 // SetMode sets the mode of new connections. Refuse and DropResponses also apply to the existing
@@ -120,17 +128,45 @@
 	}
 }
 
+// Down resets the existing connections and refuses new ones for d, as a server that has crashed does.
+func (p *Proxy) Down(d time.Duration) {
+	p.ResetOpenConnections()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	time.AfterFunc(d, p.listenAgain)
+}
+
+// listenAgain listens at the address of the proxy again, unless it is closed or listens.
+func (p *Proxy) listenAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
+	if err != nil {
+		time.AfterFunc(listenRetryInterval, p.listenAgain)
+		return
+	}
+	p.listener = listener
+	p.wg.Go(func() { p.accept(listener) })
+}
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() error {
+	p.mu.Lock()
+	p.closed = true
 	err := p.listener.Close()
+	p.mu.Unlock()
 	p.CloseOpenConnections()
 	p.wg.Wait()
 	return err
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -172,10 +208,9 @@
 	delete(p.open, l)
 }
 
-// copy relays one direction until either end closes. It keeps reading from a silent link so that
+// copy relays one direction until either end closes, and a reset as one. It keeps reading from a silent link so that
 // the sender sees neither an error nor a full TCP window.
 func (p *Proxy) copy(l *link, dst, src net.Conn, response bool) {
-	defer l.close()
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := src.Read(buf)
@@ -185,12 +220,21 @@
 				continue
 			}
 			if _, werr := dst.Write(buf[:n]); werr != nil {
+				l.close()
 				return
 			}
 		}
-		if err != nil {
-			return
+		switch {
+		case err == nil:
+			continue
+		case l.isSilent() && errors.Is(err, io.EOF):
+			// The other side doesn't hear of the end either.
+		case errors.Is(err, syscall.ECONNRESET):
+			l.reset()
+		default:
+			l.close()
 		}
+		return
 	}
 }
 
@@ -215,6 +259,12 @@
 	l.responsesDropped = true
 }
 
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 func (l *link) shouldDrop(response bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
