--- a/internal/ingress/unframed_test.go
+++ b/internal/ingress/unframed_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -22,6 +23,8 @@
 		}
 		_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: sealed\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("T-Id"), body)
 		_ = rw.Flush()
+		// The answer is read before the connection ends.
+		time.Sleep(30 * time.Millisecond)
 		if reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
@@ -50,6 +53,7 @@
 		"large read":                         {"/read/1", [2]string{strings.Repeat("b", 100<<10), ""}, false, strings.Repeat("b", 100<<10), true},
 		"large read, reset":                  {"/read/1", [2]string{strings.Repeat("b", 100<<10), strings.Repeat("b", 100<<10)}, true, "", false},
 		"stream":                             {"/plan/1", [2]string{whole, ""}, false, whole, true},
+		"stream, reset":                      {"/plan/1", [2]string{whole, ""}, true, whole, false},
 		"stream ends in an event":            {"/plan/1", [2]string{inEvent, ""}, false, whole, false},
 		"stream ends in a line":              {"/plan/1", [2]string{inLine, ""}, false, whole, false},
 		"stream ends before the blank line":  {"/plan/1", [2]string{withoutBlankLine, ""}, false, wantEvents(4), false},
