Look up an assigned server without going through the list of its service

The check that a planner's choice may be used went through all servers of the service for every placement; the published list is sorted, and only begun streams look at canaries, too. A resumed request that goes to another service of its route gets the keys of its parts anew. No change in behaviour otherwise.

--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -71,6 +71,7 @@
 	if table := s.opts.State.Table(); table != nil && r.route.SendsTo(origin.Service) {
 		if service, ok := table.Service(origin.Service); ok {
 			r.service = service
+			r.parts = s.promptParts(r)
 			return nil
 		}
 	}
@@ -156,8 +157,8 @@
 	return nil
 }
 
-// candidates returns the servers that a request may be sent to. Every choice of a server is made among
-// them.
+// candidates returns the servers that a request may be sent to. Every choice that this instance makes is
+// made among them; see assigned for those of planners.
 func (s *Server) candidates(r *request) []*platformstate.Server {
 	all := s.opts.State.Servers(r.service.Name)
 	v := s.constraint(r)
@@ -181,12 +182,17 @@
 	if s.opts.Balancer.Failures(now, id) >= maxRecentFailures || !s.opts.Balancer.Admits(now, id) {
 		return platformstate.Server{}, false
 	}
-	candidates := s.candidates(r)
-	at := slices.IndexFunc(candidates, func(server *platformstate.Server) bool { return server.ID == id })
-	if at < 0 {
+	server, ok := s.opts.State.Eligible(r.service.Name, id)
+	if !ok && r.origin.Load() != nil {
+		canaries := s.opts.State.Canaries(r.service.Name)
+		if at := slices.IndexFunc(canaries, func(c *platformstate.Server) bool { return c.ID == id }); at >= 0 {
+			server, ok = canaries[at], true
+		}
+	}
+	if !ok || !s.mayRunOn(r, server) {
 		return platformstate.Server{}, false
 	}
-	return *candidates[at], true
+	return *server, true
 }
 
 // requiredVersion returns the version that planners are asked for; empty for any.
