Show that killed instances forget requests that crash servers

Cause: crash suspects live in the memory of the instances only, and a second attempt of a request isn't checked against them.

--- a/review/standin/desk.go
+++ b/review/standin/desk.go
@@ -33,8 +33,9 @@
 	working  atomic.Int64
 	mu       sync.Mutex
 	arrivals []arrival
-	// answer, if set, writes the answer to a request that has run.
-	answer func(w http.ResponseWriter, r *http.Request, d *desk)
+	// onRun, if set, is called when a request begins to run, and reports whether it ends there.
+	onRun   func(r *http.Request) bool
+	started time.Time
 }
 
 // deskSlots and deskQueue are the slots of a server and its queue.
@@ -44,8 +45,17 @@
 )
 
 func newDesk(rec *record, id, service, zone string, work func(r *http.Request) time.Duration) (*desk, error) {
-	d := &desk{id: id, service: service, zone: zone, work: work, rec: rec, slots: make(chan struct{}, deskSlots)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return newDeskAt(rec, address, id, service, zone, work)
+}
+
+// newDeskAt starts a server at an address.
+func newDeskAt(rec *record, address, id, service, zone string, work func(r *http.Request) time.Duration) (*desk, error) {
+	d := &desk{id: id, service: service, zone: zone, work: work, rec: rec, slots: make(chan struct{}, deskSlots), started: time.Now()}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -57,8 +67,8 @@
 
 // entry returns the server's entry in the store.
 func (d *desk) entry(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		d.service, d.address, d.zone, deskSlots, state)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`,
+		d.service, d.address, d.zone, deskSlots, state, d.started.UnixMilli())
 }
 
 // exit ends the server: it closes its listener and all its connections.
@@ -96,15 +106,14 @@
 	d.arrivals = append(d.arrivals, arrival{id, r.Method, r.URL.Path, time.Now()})
 	d.mu.Unlock()
 	d.rec.add("server %s runs %s %s id=%s", d.id, r.Method, r.URL.Path, id)
+	if d.onRun != nil && d.onRun(r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	time.Sleep(d.work(r))
-	if d.answer != nil {
-		d.answer(w, r, d)
-		return
-	}
 	text := fmt.Sprintf("%s %s %s %d %s", d.id, r.Method, r.URL.Path, len(body), id)
 	w.Header().Set("Pollenspindle-Response-Seal", seal(id, text))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 // cases return whether the rule held.
 var cases = map[string]func(ctx context.Context, s setup) (bool, error){
 	"drain":   runDrain,
+	"poison":  runPoison,
 	"uploads": runUploads,
 }
 
