Keep the platform's names out of the review's Go code

Change: they take header fields from the dialect, and what lies in the store from embedded files; the check is as it was.

--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -85,9 +85,9 @@
 		return o
 	}
 	req.Host = host
-	req.Header.Set("Pollenspindle-Attempt-Id", o.id)
-	req.Header.Set("Pollenspindle-Key", key)
-	req.Header.Set("Pollenspindle-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	req.Header.Set(wire.Fields.RequestID, o.id)
+	req.Header.Set(wire.Fields.Key, key)
+	req.Header.Set(wire.Fields.DeadlineMillis, strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	for name, value := range c.fields {
 		req.Header.Set(name, value)
 	}
--- a/review/standin/desk.go
+++ b/review/standin/desk.go
@@ -67,7 +67,7 @@
 
 // entry returns the server's entry in the store.
 func (d *desk) entry(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`,
+	return fmt.Sprintf(entryText,
 		d.service, d.address, d.zone, deskSlots, state, d.started.UnixMilli())
 }
 
@@ -78,13 +78,13 @@
 }
 
 func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Pollenspindle-Instance-Id", d.id)
-	w.Header().Set("Pollenspindle-Server-Load", fmt.Sprintf("%d,%d,%d", d.working.Load(), d.waiting.Load(), deskSlots))
-	id := r.Header.Get("Pollenspindle-Attempt-Id")
+	w.Header().Set(wire.Fields.Instance, d.id)
+	w.Header().Set(wire.Fields.ServerLoad, fmt.Sprintf("%d,%d,%d", d.working.Load(), d.waiting.Load(), deskSlots))
+	id := r.Header.Get(wire.Fields.RequestID)
 	if id != "" {
-		w.Header().Set("Pollenspindle-Attempt-Id", id)
+		w.Header().Set(wire.Fields.RequestID, id)
 	}
-	switch expected := r.Header.Get("Pollenspindle-Expect-Instance"); {
+	switch expected := r.Header.Get(wire.Fields.ExpectInstance); {
 	case r.URL.Path == "/health":
 		return
 	case id == "":
@@ -115,13 +115,13 @@
 	}
 	time.Sleep(d.work(r))
 	text := fmt.Sprintf("%s %s %s %d %s", d.id, r.Method, r.URL.Path, len(body), id)
-	w.Header().Set("Pollenspindle-Response-Seal", seal(id, text))
+	w.Header().Set(wire.Fields.Seal, seal(id, text))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
 }
 
 func reject(w http.ResponseWriter, status int) {
-	w.Header().Set("Pollenspindle-Not-Executed", "1")
+	w.Header().Set(wire.Fields.NotExecuted, "1")
 	w.WriteHeader(status)
 }
 
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -24,10 +24,7 @@
 )
 
 func deskConfig(timeoutMillis int) string {
-	return fmt.Sprintf(`{"version":7,"routes":[{"name":"r-book","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":%d,"target_latency_ms":300,"priority":2,"service":%q,"max_attempts":1,"anonymous_access":false}],
-"services":[{"name":%q,"health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"huka270","api_keys":[%q],"priority":1}]}`, host, bookingRoute, timeoutMillis, serviceName, serviceName, key)
+	return fmt.Sprintf(configText, host, bookingRoute, timeoutMillis, serviceName, serviceName, key)
 }
 
 // serveStore serves the store on a loopback address.
--- a/review/standin/instances.go
+++ b/review/standin/instances.go
@@ -184,7 +184,7 @@
 // lookUp asks the instance's directory where to connect.
 func (in *instance) lookUp() []string {
 	query := url.Values{"name": {host}, "region": {"rw-central"}, "zone": {in.zone}}
-	resp, err := shortClient.Get("http://" + in.directory + "/resolution?" + query.Encode())
+	resp, err := shortClient.Get("http://" + in.directory + wire.Paths.Directory + "?" + query.Encode())
 	if err != nil {
 		return nil
 	}
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -29,7 +29,7 @@
 )
 
 func readConfig() string {
-	read := fmt.Sprintf(`"routes":[{"name":"r-read","host":%q,"path_prefix":%q,"kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":%q,"max_attempts":2,"anonymous_access":false},`, host, readRoute, serviceName)
+	read := fmt.Sprintf(readRouteText, host, readRoute, serviceName)
 	return strings.Replace(deskConfig(1500), `"routes":[`, read, 1)
 }
 
@@ -55,7 +55,7 @@
 		if r.URL.Path != poisonPath {
 			return false
 		}
-		c.crash(d, r.Header.Get("Pollenspindle-Attempt-Id"))
+		c.crash(d, r.Header.Get(wire.Fields.RequestID))
 		return true
 	}
 	c.mu.Lock()
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -52,8 +52,8 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// platform kills instances that exceed their memory and starts them again, as the platform does.
-type platform struct {
+// memoryLimit kills instances that exceed their memory and starts them again, as the platform does.
+type memoryLimit struct {
 	f   *fleet
 	rec *record
 
@@ -62,7 +62,7 @@
 	peak  map[string]int64
 }
 
-func (p *platform) watch(ctx context.Context, in *instance) {
+func (p *memoryLimit) watch(ctx context.Context, in *instance) {
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 		used := residentBytes(in.pid())
@@ -147,7 +147,7 @@
 	runCtx, end := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	defer func() { end(); running.Wait() }()
-	p := &platform{f: f, rec: s.rec, kills: map[string]int{}, peak: map[string]int64{}}
+	p := &memoryLimit{f: f, rec: s.rec, kills: map[string]int{}, peak: map[string]int64{}}
 	b := &bookings{statuses: map[int]int{}, closed: map[string][]string{}}
 	for _, in := range f.instances {
 		running.Go(func() { p.watch(runCtx, in) })
