Log backend servers that are kept while their entry is missing

Callers' requests went on to removed servers until these exited. The logs named the removal ("backend server", listed false) and then nothing: whether an instance never heard of it, heard of it and kept the server, or kept it for how long couldn't be told apart.

--- a/internal/platformstate/eligible.go
+++ b/internal/platformstate/eligible.go
@@ -63,6 +63,10 @@
 		canaries[service] = s.rebuild(service, canaries[service], ids, true)
 	}
 	clear(s.touched)
+	if len(s.newlyMissing) > 0 {
+		logServers(s.log.Info(), s.newlyMissing).Time("until", s.graceUntil).Msg("backend servers missing, kept for a time")
+		s.newlyMissing = nil
+	}
 	s.eligible.Store(&eligible)
 	s.canaries.Store(&canaries)
 	select {
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -115,6 +115,7 @@
 	if opts.Broadcast == nil {
 		opts.Broadcast = func() {}
 	}
+	opts.State.SetLog(opts.Log)
 	return &Follower{opts: opts, started: opts.Now(), backoff: objectapi.Backoff{Min: minRetryDelay, Max: maxRetryDelay}}
 }
 
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -103,7 +103,7 @@
 	}
 	if first {
 		// Entries removed before the first list are unknown.
-		s.log, s.logFrom = nil, version
+		s.changeLog, s.logFrom = nil, version
 	} else {
 		s.addMissingRange(s.versions[Servers], version)
 	}
@@ -127,7 +127,7 @@
 	}
 	s.confirm(now, Servers)
 	skipped := make(map[string]bool, len(list))
-	for _, l := range s.log {
+	for _, l := range s.changeLog {
 		if l.version > version {
 			skipped[l.id] = true
 		}
@@ -174,11 +174,11 @@
 			return
 		}
 	}
-	s.log = append(s.log, loggedChange{version, c.ID})
-	if limit := s.maxLog(); len(s.log) > limit {
-		drop := len(s.log) - limit/2
-		s.logFrom = s.log[drop-1].version
-		s.log = slices.Clone(s.log[drop:])
+	s.changeLog = append(s.changeLog, loggedChange{version, c.ID})
+	if limit := s.maxLog(); len(s.changeLog) > limit {
+		drop := len(s.changeLog) - limit/2
+		s.logFrom = s.changeLog[drop-1].version
+		s.changeLog = slices.Clone(s.changeLog[drop:])
 	}
 }
 
@@ -234,6 +234,7 @@
 	if now.Before(s.graceUntil) && !known.Leaving {
 		known.missingSince = now
 		s.put(known)
+		s.newlyMissing = append(s.newlyMissing, known.ID)
 		return
 	}
 	s.drop(known.ID)
@@ -255,14 +256,14 @@
 		}
 	}
 	last := map[string]int{}
-	for i, l := range s.log {
+	for i, l := range s.changeLog {
 		if l.version > version {
 			last[l.id] = i
 		}
 	}
 	changes = make([]Change, 0, len(last))
 	for _, i := range slices.Sorted(maps.Values(last)) {
-		changes = append(changes, s.outgoing(now, s.log[i].id))
+		changes = append(changes, s.outgoing(now, s.changeLog[i].id))
 	}
 	return changes, minFrom, true
 }
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/routes"
 )
@@ -107,14 +109,17 @@
 	heardAt time.Time
 	// names holds one copy of each name of a service, zone or software version.
 	names map[string]string
-	// log holds the changes of the servers after version logFrom.
-	log           []loggedChange
+	// changeLog holds the changes of the servers after version logFrom.
+	changeLog     []loggedChange
 	missingRanges []missingRange
 	logFrom       int64
 	raw           []byte
 	// graceUntil is until when missing entries are expected to reappear.
 	graceUntil time.Time
-	changed    chan struct{}
+	// newlyMissing has the IDs of the servers that were marked missing since the last publish.
+	newlyMissing []string
+	log          zerolog.Logger
+	changed      chan struct{}
 }
 
 // NewState returns an empty state.
@@ -129,6 +134,10 @@
 	return s
 }
 
+// SetLog makes the state log servers that go missing or are dropped. It must be called before the
+// state is shared.
+func (s *State) SetLog(log zerolog.Logger) { s.log = log }
+
 // Changed receives a value after servers or zones have changed. It holds at most one: a
 // slow reader reads the newest state in any case.
 func (s *State) Changed() <-chan struct{} { return s.changed }
@@ -337,14 +346,25 @@
 	if now.Before(s.graceUntil) {
 		return
 	}
+	var dropped []string
 	for id, e := range s.servers {
 		if !e.missingSince.IsZero() {
 			s.drop(id)
+			dropped = append(dropped, id)
 		}
 	}
-	if len(s.touched) > 0 {
-		s.publish()
+	if len(dropped) == 0 {
+		return
 	}
+	s.publish()
+	logServers(s.log.Info(), dropped).Msg("missing backend servers dropped")
+}
+
+// maxLoggedIDs limits the servers that a log line names: an outage may concern thousands.
+const maxLoggedIDs = 8
+
+func logServers(line *zerolog.Event, ids []string) *zerolog.Event {
+	return line.Int("count", len(ids)).Strs("servers", ids[:min(len(ids), maxLoggedIDs)])
 }
 
 // ReplaceZones replaces the drained zones and reports whether the version isn't older.
--- a/internal/platformstate/watcher.go
+++ b/internal/platformstate/watcher.go
@@ -89,7 +89,7 @@
 	defer f.mu.Unlock()
 	if f.failedCalls == 0 {
 		f.failingSince = since
-		f.opts.Log.Warn().Str("kind", w.kind).Err(err).Msg("platform lost")
+		f.opts.Log.Warn().Str("kind", w.kind).Dur("after", now.Sub(since)).Err(err).Msg("platform lost")
 	}
 	f.failedCalls++
 	f.failedAt, f.nextCall = now, now.Add(f.backoff.Fail())
