Give missing entries time only after a silence of the platform

After an outage of 2.4 s in which entries expired, callers got 503 though all servers lived.

Cause: any call that failed, a waiting watch that the platform cut off among them, made the next answer the end of an outage, which gave all missing entries, also those removed later, 2.2 s from then on, again and again. The outage itself wasn't measured; an instance that heard of it from others looked at ages that each message made younger, and found 2.4 s too short.

The state now knows since when the platform answers any known instance, and what silence came before. A silence counts if a call failed in 1.75 s without answers, or after 2.25 s. Entries that are missing at its end have time until 2.2 s after that; not those that appeared since, and nothing moves that time on. Instances tell each other since when the platform answers, whether it was silent before, and when it last answered them themselves. So an instance that the platform refused alone drops what the others drop. Missing entries are swept each 0.1 s in place of 0.5 s.

The tests of the state set up an outage by its calls in place of OutageEnded, which is gone; what they check is unchanged.

A removal that is hidden by an outage, acknowledged just before it, still gets the time: nothing tells it from an expired entry.

--- a/internal/platformstate/eligible.go
+++ b/internal/platformstate/eligible.go
@@ -16,7 +16,9 @@
 	if known, ok := s.servers[e.ID]; ok {
 		hash -= known.hash()
 		s.touchServer(known.Service, e.ID)
+		s.missing -= known.missingCount()
 	}
+	s.missing += e.missingCount()
 	s.servers[e.ID] = e
 	s.setHash(Servers, hash)
 	s.touchServer(e.Service, e.ID)
@@ -28,6 +30,7 @@
 		return
 	}
 	delete(s.servers, id)
+	s.missing -= e.missingCount()
 	s.setHash(Servers, s.hashes[Servers]-e.hash())
 	s.touchServer(e.Service, id)
 }
@@ -46,9 +49,16 @@
 	}
 }
 
+func (e *entry) missingCount() int {
+	if e.isMissing() {
+		return 1
+	}
+	return 0
+}
+
 // hash returns the entry's part of the hash of all servers, which is the sum of the parts.
 func (e *entry) hash() uint64 {
-	if !e.missingSince.IsZero() {
+	if e.isMissing() {
 		return 0
 	}
 	return xxhash.Sum64String(e.ID + "\n" + e.Address + "\n" + e.Zone + "\n" + strconv.FormatBool(e.listedLeaving) + "\n" + e.Version)
@@ -64,7 +74,7 @@
 	}
 	clear(s.touched)
 	if len(s.newlyMissing) > 0 {
-		logServers(s.log.Info(), s.newlyMissing).Time("until", s.graceUntil).Msg("backend servers missing, kept for a time")
+		logServers(s.log.Info(), s.newlyMissing).Time("until", s.answered.since.Add(reappearTime)).Msg("backend servers missing, kept for a time")
 		s.newlyMissing = nil
 	}
 	s.eligible.Store(&eligible)
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -32,8 +32,8 @@
 	// minRetryDelay and maxRetryDelay limit the delay between calls to a failing platform.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 700 * time.Millisecond
-	// sweepInterval is how often servers that are still missing after an outage are removed.
-	sweepInterval = 500 * time.Millisecond
+	// sweepInterval is how often servers are removed whose time to reappear has ended.
+	sweepInterval = 100 * time.Millisecond
 	// freshWatchTime is how long stale watches aren't allowed after a missed change.
 	freshWatchTime = 10 * time.Second
 	// watcherCount is the number of instances that watch a resource for all.
@@ -218,7 +218,7 @@
 		return 0, err
 	}
 	adaptive.Succeed(f.opts.Now().Sub(start))
-	f.callSucceeded()
+	f.callSucceeded(start)
 	if list.replace(start) {
 		f.opts.State.RecordListing(start, w.resource)
 	}
@@ -251,7 +251,11 @@
 			f.callFailed(start, w, err)
 			return true
 		}
-		f.callSucceeded()
+		answered := start
+		if len(changes.Events) == 0 {
+			answered = earlier(now, start.Add(timeout))
+		}
+		f.callSucceeded(answered)
 		if known, _ := f.opts.State.Version(w.resource); w.resource != Configuration && changes.Version < known {
 			// A list was faster: these changes are older.
 			version = known
--- a/internal/platformstate/refresh_test.go
+++ b/internal/platformstate/refresh_test.go
@@ -166,7 +166,7 @@
 		}
 	}
 	require.LessOrEqual(t, tries, 45)
-	f.callSucceeded()
+	f.callSucceeded(now)
 	require.True(t, f.mayCall(now))
 }
 
@@ -196,6 +196,6 @@
 	require.False(t, f.PlatformUnreachable())
 	f.callFailed(now, w, nil)
 	require.True(t, f.PlatformUnreachable())
-	f.callSucceeded()
+	f.callSucceeded(now)
 	require.False(t, f.PlatformUnreachable())
 }
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -154,19 +154,22 @@
 func (s *State) apply(now time.Time, version int64, c Change) {
 	known, ok := s.servers[c.ID]
 	if c.Server == nil {
-		if !ok || !known.missingSince.IsZero() {
+		if !ok || known.isMissing() {
 			return
 		}
 		s.remove(now, known)
 	} else {
 		leaving := c.Server.Leaving || s.hasDeparted(c.Server)
-		same := ok && known.missingSince.IsZero() && known.listed() == *c.Server
+		same := ok && !known.isMissing() && known.listed() == *c.Server
 		if same && known.Leaving == leaving && c.Server.ColdRemaining == 0 {
 			return
 		}
 		e := s.newEntry(now, c.Server, leaving)
 		if ok && known.StartedAtMillis == e.StartedAtMillis && known.Version == e.Version {
 			e.retired, e.ListedSince = known.retired, known.ListedSince
+			if !known.isMissing() {
+				e.appearedAt = known.appearedAt
+			}
 		}
 		s.recordVersion(now, &e)
 		s.put(e)
@@ -188,7 +191,7 @@
 	server.ID, server.Address = strings.Clone(listed.ID), strings.Clone(listed.Address)
 	server.Service, server.Zone, server.Version = s.name(listed.Service), s.name(listed.Zone), s.name(listed.Version)
 	server.Leaving = leaving
-	return entry{Server: server, listedLeaving: listed.Leaving}
+	return entry{Server: server, listedLeaving: listed.Leaving, appearedAt: now}
 }
 
 // maxNames limits the names that are kept: those of software versions come and go.
@@ -229,15 +232,27 @@
 	return out
 }
 
+// isMissing reports whether the platform doesn't list the entry any more.
+func (e *entry) isMissing() bool { return !e.missingUntil.IsZero() }
+
 // remove removes an entry, or marks it missing while it may reappear.
 func (s *State) remove(now time.Time, known entry) {
-	if now.Before(s.graceUntil) && !known.Leaving {
-		known.missingSince = now
-		s.put(known)
-		s.newlyMissing = append(s.newlyMissing, known.ID)
+	until, ok := s.reappearLimit(now, &known)
+	if !ok {
+		s.drop(known.ID)
 		return
 	}
-	s.drop(known.ID)
+	known.missingUntil = until
+	s.put(known)
+	s.newlyMissing = append(s.newlyMissing, known.ID)
+}
+
+// reappearLimit returns until when an entry that is removed now may reappear: it may have expired
+// while the platform was silent. An entry that has appeared since then was removed.
+func (s *State) reappearLimit(now time.Time, known *entry) (time.Time, bool) {
+	ended, ok := s.answered.silenceEnded()
+	until := ended.Add(reappearTime)
+	return until, ok && now.Before(until) && known.appearedAt.Before(ended) && !known.Leaving
 }
 
 // changesSince returns the changes after a version, or false if they aren't all known.
@@ -271,7 +286,7 @@
 // outgoing returns the change of a server for other instances.
 func (s *State) outgoing(now time.Time, id string) Change {
 	e, ok := s.servers[id]
-	if !ok || !e.missingSince.IsZero() {
+	if !ok || e.isMissing() {
 		return Change{ID: id}
 	}
 	server := ListedServer{e.Server, e.listedLeaving}.Outgoing(now)
@@ -282,7 +297,7 @@
 func (s *State) listedServers() []ListedServer {
 	out := make([]ListedServer, 0, len(s.servers))
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
-		if known := s.servers[id]; known.missingSince.IsZero() {
+		if known := s.servers[id]; !known.isMissing() {
 			out = append(out, ListedServer{known.Server, known.listedLeaving})
 		}
 	}
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -46,14 +46,6 @@
 // Valid reports whether the resource exists.
 func (res Resource) Valid() bool { return res >= Configuration && res < resourceCount }
 
-// reappearTime is how long after a platform outage backend servers may stay missing whose
-// entries expired during it: working servers renew theirs within two seconds.
-const reappearTime = 2200 * time.Millisecond
-
-// entryExpiry is how long no instance must have got an answer from the platform until
-// entries of servers may have expired.
-const entryExpiry = 3 * time.Second
-
 // Server is a backend server with the time until which it is cold. Published servers are shared and
 // must not be changed.
 type Server struct {
@@ -69,8 +61,10 @@
 	// listedLeaving is whether the platform lists the server as leaving. The server itself may
 	// have given a shutdown notice before.
 	listedLeaving bool
-	// missingSince is set while the entry is missing after an outage.
-	missingSince time.Time
+	// missingUntil is set while the entry is missing after the platform was silent.
+	missingUntil time.Time
+	// appearedAt is when the entry was first listed, or listed again after it was missing.
+	appearedAt time.Time
 	// retired is set on servers that shut down after a completed rollout.
 	retired bool
 }
@@ -102,9 +96,10 @@
 	// since when another instance is known to have listed different contents.
 	listings      [resourceCount]Listing
 	divergedSince [resourceCount]time.Time
-	// contact is when the platform last answered any known instance, failedAt when it last
-	// failed to answer this one.
-	contact, failedAt time.Time
+	// answered is when the platform answered any known instance. It last answered this one at
+	// lastAnswer or later, and last failed to answer it at failedAt.
+	answered             answered
+	lastAnswer, failedAt time.Time
 	// heardAt is when another instance last sent its versions.
 	heardAt time.Time
 	// names holds one copy of each name of a service, zone or software version.
@@ -114,9 +109,9 @@
 	missingRanges []missingRange
 	logFrom       int64
 	raw           []byte
-	// graceUntil is until when missing entries are expected to reappear.
-	graceUntil time.Time
-	// newlyMissing has the IDs of the servers that were marked missing since the last publish.
+	// missing is the number of missing entries, newlyMissing has the IDs of the servers that were
+	// marked missing since the last publish.
+	missing      int
 	newlyMissing []string
 	log          zerolog.Logger
 	changed      chan struct{}
@@ -191,7 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.servers[id]
-	if !ok || !e.missingSince.IsZero() {
+	if !ok || e.isMissing() {
 		return dialect.Server{}, false
 	}
 	return e.listed(), true
@@ -249,7 +244,6 @@
 func (s *State) Confirm(now time.Time, res Resource) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordContact(now)
 	s.confirm(now, res)
 }
 
@@ -271,25 +265,29 @@
 func (s *State) Outage() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.failedAt.IsZero() && !s.contact.After(s.failedAt)
+	return !s.failedAt.IsZero() && !s.answered.last.After(s.failedAt)
 }
 
-// OutageEnded records that the platform answers again after an outage.
-func (s *State) OutageEnded(now time.Time) {
+// RecordAnswer records an answer of the platform to this instance that was given at a time or later and
+// is read now: a process that was paused reads it late.
+func (s *State) RecordAnswer(at, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failedAt = time.Time{}
-	s.graceUntil = now.Add(reappearTime)
+	before := s.answered
+	s.answered.record(at, now, s.failedAt.After(before.last))
+	s.lastAnswer, s.failedAt = later(s.lastAnswer, at), time.Time{}
+	s.logSilence(before)
 }
 
-// recordContact records that the platform answered some instance. If none was answered for
-// longer than the servers' heartbeats last, entries may be missing that will reappear.
-func (s *State) recordContact(at time.Time) {
-	if !s.contact.IsZero() && at.Sub(s.contact) > entryExpiry {
-		s.graceUntil = at.Add(reappearTime)
+// logSilence logs a silence of the platform that wasn't known before.
+func (s *State) logSilence(before answered) {
+	ended, ok := s.answered.silenceEnded()
+	known, was := before.silenceEnded()
+	if ok && (!was || ended.Sub(known) > minSilence) {
+		s.log.Info().Time("from", s.answered.silentFrom).Time("to", ended).Msg("platform was silent, entries may have expired")
 	}
-	if at.After(s.contact) {
-		s.contact = at
+	if was && !ok {
+		s.log.Info().Time("from", before.silentFrom).Time("to", known).Msg("platform was not silent, by another instance")
 	}
 }
 
@@ -339,16 +337,16 @@
 	return out
 }
 
-// Sweep removes entries that are still missing after an outage.
+// Sweep removes entries whose time to reappear has ended.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Before(s.graceUntil) {
+	if s.missing == 0 {
 		return
 	}
 	var dropped []string
 	for id, e := range s.servers {
-		if !e.missingSince.IsZero() {
+		if e.isMissing() && !now.Before(s.missingLimit(&e)) {
 			s.drop(id)
 			dropped = append(dropped, id)
 		}
@@ -360,6 +358,19 @@
 	logServers(s.log.Info(), dropped).Msg("missing backend servers dropped")
 }
 
+// missingLimit returns when the time of a missing entry ends. It is earlier than at first if the
+// silence of the platform ended earlier than this instance believed, and zero if there was none.
+func (s *State) missingLimit(e *entry) time.Time {
+	ended, ok := s.answered.silenceEnded()
+	if !ok {
+		return time.Time{}
+	}
+	if limit := ended.Add(reappearTime); limit.Before(e.missingUntil) {
+		return limit
+	}
+	return e.missingUntil
+}
+
 // maxLoggedIDs limits the servers that a log line names: an outage may concern thousands.
 const maxLoggedIDs = 8
 
--- a/internal/platformstate/state_test.go
+++ b/internal/platformstate/state_test.go
@@ -74,13 +74,20 @@
 	require.True(t, listed)
 }
 
+// endOutage makes an outage end in which entries of servers may have expired, as this instance sees it.
+func endOutage(s *State, at time.Time) {
+	s.RecordAnswer(at.Add(-entryExpiry), at.Add(-entryExpiry))
+	s.RecordPlatformFailure(at.Add(-heartbeatInterval))
+	s.RecordAnswer(at, at)
+}
+
 // Guards against refusing requests after an outage in which servers couldn't renew their
 // entries: the first list lacks working servers. Those that reappear in time stay, the
 // others are removed.
 func TestEntriesMissingAfterOutageMayReappear(t *testing.T) {
 	s := NewState()
-	s.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")})
-	s.OutageEnded(start)
+	s.ReplaceServers(start.Add(-entryExpiry), 10, []dialect.Server{server("a"), server("b")})
+	endOutage(s, start)
 	s.ReplaceServers(start, 20, nil)
 	require.Equal(t, []string{"a", "b"}, ids(s))
 	back := server("a")
--- a/internal/platformstate/update.go
+++ b/internal/platformstate/update.go
@@ -32,6 +32,14 @@
 	// ConfirmedAge is the time in milliseconds since the resource was confirmed as current;
 	// negative if it never was.
 	ConfirmedAge int64 `json:"heardAge"`
+	// AnsweringAge is for how many milliseconds the platform is known to answer, AfterSilence whether it
+	// was silent before for so long that entries of servers may have expired, and LastAnswerAge the
+	// time in milliseconds since it last answered the sender itself. The latter isn't passed on: it
+	// would be taken for more recent by the delay of each message. All are sent with the servers; an
+	// age of 0 means unknown.
+	AnsweringAge  int64 `json:"answeringAge,omitempty"`
+	LastAnswerAge int64 `json:"lastAnswerAge,omitempty"`
+	AfterSilence  bool  `json:"afterSilence,omitempty"`
 }
 
 // Versions is an instance's state of all resources.
@@ -73,6 +81,13 @@
 			v[res].ConfirmedAge = now.Sub(s.confirmed[res]).Milliseconds()
 		}
 	}
+	if !s.answered.last.IsZero() {
+		v[Servers].AnsweringAge = max(1, now.Sub(s.answered.since).Milliseconds())
+		_, v[Servers].AfterSilence = s.answered.silenceEnded()
+	}
+	if !s.lastAnswer.IsZero() {
+		v[Servers].LastAnswerAge = max(1, now.Sub(s.lastAnswer).Milliseconds())
+	}
 	return v
 }
 
@@ -141,7 +156,7 @@
 func (s *State) Apply(now time.Time, u *Update) (missing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordContactOf(now, &u.Versions)
+	s.recordAnswersTo(now, &u.Versions)
 	at := u.Versions[Servers].Version
 	switch {
 	case u.Snapshot && at > s.versions[Servers]:
@@ -168,7 +183,7 @@
 func (s *State) MergeVersions(now time.Time, v Versions) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordContactOf(now, &v)
+	s.recordAnswersTo(now, &v)
 	s.mergeVersions(now, &v)
 }
 
@@ -182,14 +197,21 @@
 	return !s.heardAt.IsZero() && now.Sub(s.heardAt) < heardTTL
 }
 
-// recordContactOf records when the platform last answered the other instance.
-func (s *State) recordContactOf(now time.Time, v *Versions) {
+// recordAnswersTo records when the platform answered the other instance and those that it knows.
+func (s *State) recordAnswersTo(now time.Time, v *Versions) {
 	s.heardAt = now
-	for _, age := range []int64{v[Servers].ListedAge, v[Servers].ConfirmedAge} {
-		if age >= 0 {
-			s.recordContact(millisAgo(now, age))
-		}
+	r := &v[Servers]
+	if r.AnsweringAge <= 0 {
+		return
+	}
+	before := s.answered
+	since := millisAgo(now, r.AnsweringAge)
+	last := since
+	if r.LastAnswerAge > 0 {
+		last = later(since, millisAgo(now, r.LastAnswerAge))
 	}
+	s.answered.merge(since, last, r.AfterSilence)
+	s.logSilence(before)
 }
 
 func (s *State) mergeVersions(now time.Time, v *Versions) {
@@ -242,7 +264,6 @@
 func (s *State) RecordListing(at time.Time, res Resource) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordContact(at)
 	s.recordListing(res, Listing{Version: s.versions[res], ContentHash: s.hashes[res], At: at})
 }
 
--- a/internal/platformstate/update_test.go
+++ b/internal/platformstate/update_test.go
@@ -72,10 +72,12 @@
 	lister, receiver := NewState(), NewState()
 	for _, s := range []*State{lister, receiver} {
 		s.ReplaceServers(start, 10, []dialect.Server{server("a"), server("b")})
+		s.RecordAnswer(start, start)
 		s.RecordListing(start, Servers)
 	}
 	after := start.Add(entryExpiry + time.Second)
-	lister.OutageEnded(after)
+	lister.RecordPlatformFailure(after)
+	lister.RecordAnswer(after, after)
 	lister.ReplaceServers(after, 20, nil)
 	lister.RecordListing(after, Servers)
 	u, _ := lister.UpdateSince(after, 10)
--- a/internal/platformstate/watcher.go
+++ b/internal/platformstate/watcher.go
@@ -81,8 +81,7 @@
 	f.missedChangeAt = now
 }
 
-// callFailed and callSucceeded track an outage: entries that are missing right after it
-// may reappear.
+// callFailed and callSucceeded track whether the platform answers.
 func (f *Follower) callFailed(since time.Time, w *watchedResource, err error) {
 	now := f.opts.Now()
 	f.mu.Lock()
@@ -96,7 +95,8 @@
 	f.opts.State.RecordPlatformFailure(now)
 }
 
-func (f *Follower) callSucceeded() {
+func (f *Follower) callSucceeded(answered time.Time) {
+	f.opts.State.RecordAnswer(answered, f.opts.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failedCalls == 0 {
@@ -105,5 +105,4 @@
 	f.opts.Log.Info().Int("failedCalls", f.failedCalls).Msg("platform regained")
 	f.failedCalls = 0
 	f.backoff.Reset()
-	f.opts.State.OutageEnded(f.opts.Now())
 }
