Keep the first process start from holding the addresses of tests

A test of many deployments still failed with "bind: address already in use", in the moment in which its binary started its first process.

The os package forks once without the lock, before the first process is started, to see what the system supports. An address that was being tried then stayed in use for a moment. It is made to do so before the first address is tried.

--- a/test/process/address.go
+++ b/test/process/address.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -50,10 +51,14 @@
 	}
 }
 
+// checkPidfd makes the os package fork the process that it starts once without the lock.
+var checkPidfd = sync.OnceFunc(func() { _, _ = os.FindProcess(os.Getpid()) })
+
 // canListen reports whether an address is free. A process that is forked meanwhile would hold the
 // address until its program starts, after it was found to be free.
 func canListen(t testing.TB, address string) bool {
 	t.Helper()
+	checkPidfd()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	l, err := listen(address)
