Let the next call decide after a watch that was cut off

Cause: a waiting watch that the platform cuts off counted as a failed call. Then one call at a time is allowed for all resources, so that a cut watch of servers delays configurations and drained zones; failures half a second apart hand the turn to watch to another instance; the state is one of outage for callers and lists; and the wait of the watch counts as time without an answer, which doubles the timeout of later calls up to 3 s. A 410, an answer, wasn't counted as one.

The client of the object API names such an end ErrWatchEnded. The watcher then watches once without waiting, from the same version: if that is answered nothing has happened, and if not the platform is lost. Watches that end early begin with a backoff of their own. The wait of a watch isn't counted for the timeout. Such calls are counted with outcome cutOff.

--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -240,7 +241,10 @@
 // recordCall counts a call to the platform.
 func (in *instance) recordCall(c objectapi.Call) {
 	outcome := "answered"
-	if c.Err != nil {
+	switch {
+	case errors.Is(c.Err, objectapi.ErrWatchEnded):
+		outcome = "cutOff"
+	case c.Err != nil:
 		outcome = "failed"
 	}
 	in.tel.Metrics.SubScope("platform").Tagged(map[string]string{"op": c.Op, "kind": c.Kind, "outcome": outcome}).Counter("calls").Inc(1)
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -263,7 +263,9 @@
 }
 
 // Watch returns the changes to objects of a kind after a version, and waits for at most wait if
-// there are none. No events mean that nothing changed until the response.
+// there are none. No events mean that nothing changed until the response. It returns [ErrWatchEnded]
+// if the platform cuts it off while it may wait; the changes since then are in the next watch after the
+// same version.
 func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error) {
 	var changes Changes
 	err := c.read(ctx, Operation{Op: opWatch, Kind: kind, After: after, Wait: wait}, func(body []byte) (err error) {
@@ -303,6 +305,9 @@
 	start := time.Now()
 	var exchange controlcost.Exchange
 	err := c.roundTrip(ctx, o, &exchange, decode)
+	if o.Wait > 0 && errors.Is(err, ErrUnknownOutcome) && ctx.Err() == nil {
+		err = merry.Wrap(ErrWatchEnded, merry.AppendMessage(err.Error()))
+	}
 	if c.opts.OnCall != nil {
 		sent, received := exchange.Bytes()
 		c.opts.OnCall(Call{Op: o.Op, Kind: o.Kind, Duration: time.Since(start), Sent: sent, Received: received, Err: err})
--- a/internal/objectapi/client_test.go
+++ b/internal/objectapi/client_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -214,3 +216,73 @@
 		return err == nil
 	}, testMax, time.Millisecond)
 }
+
+// Guards against taking a waiting watch that is cut off for a platform that doesn't answer, and
+// against taking other calls without an answer for such a watch.
+func TestCutOffWatch(t *testing.T) {
+	cut := func(begin string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if begin != "" {
+				_, _ = io.WriteString(w, begin)
+				_ = http.NewResponseController(w).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	status := func(code int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+	}
+	hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	watch := func(wait time.Duration) func(c *objectapi.Client) error {
+		return func(c *objectapi.Client) error {
+			_, err := c.Watch(objectapi.WithTimeout(t.Context(), 100*time.Millisecond), kind, 1, wait)
+			return err
+		}
+	}
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		call    func(c *objectapi.Client) error
+		want    error
+	}{
+		"closed":               {cut(""), watch(testMax), objectapi.ErrWatchEnded},
+		"closed in the middle": {cut(`{"events":[`), watch(testMax), objectapi.ErrWatchEnded},
+		"ended without a body": {status(http.StatusOK), watch(testMax), objectapi.ErrWatchEnded},
+		"closed, no wait":      {cut(""), watch(0), objectapi.ErrUnavailable},
+		"refused":              {status(http.StatusServiceUnavailable), watch(testMax), objectapi.ErrUnavailable},
+		"compacted":            {status(http.StatusGone), watch(testMax), objectapi.ErrCompacted},
+		"no answer":            {hang, watch(time.Millisecond), objectapi.ErrUnavailable},
+		"list closed":          {cut(""), func(c *objectapi.Client) error { _, _, err := c.List(t.Context(), kind); return err }, objectapi.ErrUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(tt.handler)
+			defer server.Close()
+			var reported error
+			client := objectapi.NewClient(server.URL, objectapi.Options{OnCall: func(c objectapi.Call) { reported = c.Err }})
+			defer client.Close()
+			err := tt.call(client)
+			require.ErrorIs(t, err, tt.want)
+			require.Equal(t, tt.want == objectapi.ErrWatchEnded, errors.Is(reported, objectapi.ErrWatchEnded))
+			require.Equal(t, tt.want == objectapi.ErrUnavailable, errors.Is(err, objectapi.ErrUnavailable))
+		})
+	}
+}
+
+// Guards against a platform that is called in a loop because it cuts off watches at once, and against
+// waiting for long though watches are cut off.
+func TestCutWatches(t *testing.T) {
+	c := objectapi.CutWatches{Backoff: objectapi.Backoff{Min: 100 * time.Millisecond, Max: time.Second}}
+	require.Equal(t, time.Minute, c.Wait(time.Minute))
+	var total time.Duration
+	for range 20 {
+		total += c.Cut(0)
+		require.Zero(t, c.Wait(time.Minute))
+		c.Ended()
+		require.Equal(t, time.Minute, c.Wait(time.Minute))
+	}
+	require.Greater(t, total, 2*time.Second)
+	require.Zero(t, c.Cut(time.Second), "a watch that waited is repeated at once")
+	c.Ended()
+	c.Ended()
+	require.LessOrEqual(t, c.Cut(0), 100*time.Millisecond)
+}
--- a/internal/objectapi/errors.go
+++ b/internal/objectapi/errors.go
@@ -16,6 +16,10 @@
 	// ErrUnavailable means that the platform did not serve the call. A write certainly had no
 	// effect.
 	ErrUnavailable = merry.Sentinel("platform unavailable")
+	// ErrWatchEnded means that a watch which was waiting for changes ended without an answer, before
+	// its wait was over: platforms may cut off waiting watches. Only the next call tells whether the
+	// platform answers.
+	ErrWatchEnded = merry.Sentinel("waiting watch was cut off")
 	// ErrUnknownOutcome means that the response to a write was lost: it may have taken effect, or
 	// may still do so later.
 	ErrUnknownOutcome = merry.Sentinel("outcome of the write unknown")
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -226,34 +226,44 @@
 }
 
 // watch applies changes while this instance is a watcher, and reports whether the resource
-// has to be listed before the next watch.
+// has to be listed before the next watch. After a watch that was cut off while it waited, the next one
+// doesn't wait: whether the platform answers it decides whether the platform is lost.
 func (f *Follower) watch(ctx context.Context, w *watchedResource, version int64, adaptive *objectapi.AdaptiveTimeout) bool {
+	cuts := objectapi.CutWatches{Backoff: objectapi.Backoff{Min: minRetryDelay, Max: maxRetryDelay}}
 	for ctx.Err() == nil && f.isWatcher(w) {
 		start := f.opts.Now()
 		call, done := w.cancelable(ctx)
 		rank, _ := f.opts.Rank(w.kind)
-		timeout := w.timeout
+		wait := cuts.Wait(w.timeout)
 		if rank > 0 {
-			timeout = watchTimeout
+			wait = cuts.Wait(watchTimeout)
 		}
-		changes, err := f.opts.Objects.Watch(f.watchContext(call, start, adaptive), w.kind, version, timeout)
+		changes, err := f.opts.Objects.Watch(f.watchContext(call, start, adaptive), w.kind, version, wait)
 		interrupted := call.Err() != nil
 		done()
 		now := f.opts.Now()
 		if interrupted {
 			return w.resource == Configuration
 		}
+		if errors.Is(err, objectapi.ErrWatchEnded) {
+			if objectapi.Sleep(ctx, cuts.Cut(now.Sub(start))) != nil {
+				return true
+			}
+			continue
+		}
+		cuts.Ended()
 		if errors.Is(err, objectapi.ErrCompacted) {
+			f.callSucceeded(start)
 			return true
 		}
 		if err != nil {
-			adaptive.Fail(now.Sub(start))
+			adaptive.Fail(now.Sub(start) - wait)
 			f.callFailed(start, w, err)
 			return true
 		}
 		answered := start
 		if len(changes.Events) == 0 {
-			answered = earlier(now, start.Add(timeout))
+			answered = earlier(now, start.Add(wait))
 		}
 		f.callSucceeded(answered)
 		if known, _ := f.opts.State.Version(w.resource); w.resource != Configuration && changes.Version < known {
--- a/internal/platformstate/follow_test.go
+++ b/internal/platformstate/follow_test.go
@@ -21,14 +21,20 @@
 
 const testTimeout = 20 * time.Second
 
-// faulty is a platform whose watches can hang, lose their history or fail.
+// faulty is a platform whose watches can hang, lose their history, be cut off or fail.
 type faulty struct {
 	next      http.Handler
 	hanging   atomic.Bool
 	compacted atomic.Bool
 	down      atomic.Bool
+	// cutting cuts off all watches that wait; cuts counts them.
+	cutting atomic.Bool
+	cuts    atomic.Int64
 }
 
+// cutAfter is how long a watch waits until it is cut off.
+const cutAfter = 150 * time.Millisecond
+
 func (f *faulty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	watch := strings.HasPrefix(r.URL.Path, "/watch/")
 	switch {
@@ -36,6 +42,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case watch && f.hanging.Load():
 		<-r.Context().Done()
+	case watch && f.cutting.Load() && r.URL.Query().Get("waitMillis") != "0":
+		_ = objectapi.Sleep(r.Context(), cutAfter)
+		f.cuts.Add(1)
+		panic(http.ErrAbortHandler)
 	case watch && f.compacted.CompareAndSwap(true, false):
 		w.WriteHeader(http.StatusGone)
 	default:
@@ -45,9 +55,10 @@
 
 type followerFixture struct {
 	*faulty
-	t       *testing.T
-	state   *State
-	objects *objectapi.Client
+	t        *testing.T
+	state    *State
+	objects  *objectapi.Client
+	follower *Follower
 }
 
 func startFollower(t *testing.T) *followerFixture {
@@ -66,12 +77,12 @@
 			return s, err
 		},
 	}
-	follower := NewFollower(Options{
+	f.follower = NewFollower(Options{
 		State: f.state, Objects: f.objects, Dialect: d, Log: zerolog.Nop(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); follower.Run(ctx) }()
+	go func() { defer close(done); f.follower.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done; f.objects.Close(); server.Close() })
 	return f
 }
@@ -108,6 +119,7 @@
 		"none":              {func(*faulty) {}, func(*faulty) {}},
 		"hanging watches":   {func(f *faulty) { f.hanging.Store(true) }, func(*faulty) {}},
 		"history compacted": {func(f *faulty) { f.compacted.Store(true) }, func(*faulty) {}},
+		"watches cut off":   {func(f *faulty) { f.cutting.Store(true) }, func(*faulty) {}},
 		"platform down":     {func(f *faulty) { f.down.Store(true) }, func(f *faulty) { f.down.Store(false) }},
 	}
 	for name, tt := range tests {
@@ -132,3 +144,20 @@
 		})
 	}
 }
+
+// Guards against taking a watch that the platform cuts off for an outage, which delays calls for all
+// resources, changes the watchers and tells callers to come back later.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	f := startFollower(t)
+	f.put("servers", "s1", `{"Service":"llm"}`)
+	f.eventually(func() bool { return len(f.state.Servers("llm")) == 1 })
+	f.cutting.Store(true)
+	f.eventually(func() bool {
+		require.False(t, f.state.Outage())
+		require.False(t, f.follower.PlatformUnreachable())
+		require.True(t, f.follower.mayCall(time.Now()))
+		return f.cuts.Load() >= 20
+	})
+	f.down.Store(true)
+	f.eventually(f.state.Outage)
+}
