Don't take cut watches for an outage in the own interface

What operators saw: "configuration not confirmed" for each watch that the platform cuts off. What instances did: up to 0.2 s without a watch of the configuration, and for the roster a failed call: heartbeats at a quarter of their period and the ages of all instances in each answer, until the next call, and a timeout that a cut made shorter or longer.

Cause: config.Store and member took a waiting watch that was cut off for a call without an answer. Both now go on as the watchers of platformstate do: they watch once without waiting, and only its outcome counts. claim has no watch, and rollouts are read and written by calls that don't wait: nothing to change there.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -59,6 +59,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, objectapi.ErrWatchEnded) {
+			_ = objectapi.Sleep(ctx, t.cuts.Cut(time.Since(requested)))
+			continue
+		}
 		s.opts.Log.Warn().Err(err).Int64("version", s.Version()).Msg("configuration not confirmed")
 		// When the platform compacts its changes, all instances have to relist at the same time,
 		// so each waits for a random backoff first.
@@ -72,15 +76,20 @@
 type watchTiming struct {
 	wait          time.Duration
 	failures      int
+	cuts          objectapi.CutWatches
 	answerTimeout objectapi.AdaptiveTimeout
 }
 
 func newWatchTiming(wait time.Duration) watchTiming {
-	return watchTiming{wait: wait, answerTimeout: objectapi.AdaptiveTimeout{Min: minAnswerTimeout, Max: maxAnswerTimeout}}
+	return watchTiming{
+		wait: wait, cuts: objectapi.CutWatches{Backoff: objectapi.Backoff{Min: minRetryBackoff, Max: wait}},
+		answerTimeout: objectapi.AdaptiveTimeout{Min: minAnswerTimeout, Max: maxAnswerTimeout},
+	}
 }
 
 // next returns how long the platform may wait for a change, and the timeout of the watch. After a
-// failure, and while the platform is slow, the watch doesn't wait, to confirm as soon as possible.
+// failure or a watch that was cut off, and while the platform is slow, the watch doesn't wait, to
+// confirm as soon as possible.
 // Otherwise random, which is in [0, 1), shortens the wait by up to a quarter: a change, an outage
 // or a common start ends the watches of all instances at the same time, and without jitter the
 // following watches would stay synchronized.
@@ -88,7 +97,7 @@
 	if t.failures > 0 || t.answerTimeout.Timeout() > minAnswerTimeout {
 		return 0, t.answerTimeout.Timeout()
 	}
-	wait = t.wait - time.Duration(random*float64(t.wait)/4)
+	wait = t.cuts.Wait(t.wait - time.Duration(random*float64(t.wait)/4))
 	return wait, wait + minAnswerTimeout
 }
 
@@ -112,6 +121,10 @@
 	requested := time.Now()
 	changes, err := s.opts.Objects.Watch(watchCtx, kind, after, wait)
 	elapsed := time.Since(requested) - wait
+	if errors.Is(err, objectapi.ErrWatchEnded) {
+		return after, err
+	}
+	t.cuts.Ended()
 	if err != nil {
 		t.answerTimeout.Fail(elapsed)
 		return after, err
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -1,13 +1,16 @@
 package config_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"pollenspindle.example/pollenspindle/internal/config"
@@ -138,6 +141,36 @@
 	require.Eventually(t, func() bool { return s.Version() == second && s.Confirmed(time.Now(), maxAge) }, testMax, tick)
 }
 
+// Guards against taking a waiting watch that the platform cuts off for one that doesn't answer.
+func TestCutWatchesConfirm(t *testing.T) {
+	b := newTestPlatform(t)
+	client := b.client(t)
+	first, err := config.Apply(t.Context(), client, change(twoZones(1, true), 0, "operator"))
+	require.NoError(t, err)
+	var cuts atomic.Int64
+	cut := func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+		if wait := r.URL.Query().Get("waitMillis"); wait == "" || wait == "0" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		cuts.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	b.intercept.Store(&cut)
+	var log strings.Builder
+	s := config.NewStore(config.StoreOptions{Objects: client, Log: zerolog.New(&log)})
+	ctx, cancel := context.WithCancel(t.Context())
+	var following sync.WaitGroup
+	following.Go(func() { s.Run(ctx) })
+	require.Eventually(t, func() bool { return s.Version() == first && cuts.Load() > 3 }, testMax, tick)
+	second, err := config.Apply(t.Context(), client, change(twoZones(1, false), first, "operator"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Version() == second && s.Confirmed(time.Now(), time.Second) }, testMax, tick)
+	cancel()
+	following.Wait()
+	require.NotContains(t, log.String(), "not confirmed")
+}
+
 func TestConfirmedExpires(t *testing.T) {
 	b := newTestPlatform(t)
 	_, err := config.Apply(t.Context(), b.client(t), change(twoZones(1, true), 0, "operator"))
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -31,14 +31,21 @@
 // the time of the request: the process may be paused, and read the answer long after it was sent.
 func (m *Member) followRoster(ctx context.Context) {
 	backoff := objectapi.Backoff{Min: minBackoff, Max: maxBackoff}
+	cuts := objectapi.CutWatches{Backoff: objectapi.Backoff{Min: minBackoff, Max: longPollTimeout}}
 	timeout := objectapi.AdaptiveTimeout{Min: readTimeout, Max: maxCallTimeout}
 	after, listed := int64(0), false
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		var err error
 		if listed {
-			after, err = m.watchRoster(ctx, sentAt, after, timeout.Timeout())
-			recordCall(&timeout, err, time.Since(sentAt)-longPollTimeout)
+			wait := cuts.Wait(longPollTimeout)
+			after, err = m.watchRoster(ctx, sentAt, after, wait, timeout.Timeout())
+			if errors.Is(err, objectapi.ErrWatchEnded) {
+				pause(ctx, cuts.Cut(time.Since(sentAt)), m.reread)
+				continue
+			}
+			cuts.Ended()
+			recordCall(&timeout, err, time.Since(sentAt)-wait)
 		} else {
 			after, err = m.readRoster(ctx, sentAt, timeout.Timeout())
 			recordCall(&timeout, err, time.Since(sentAt))
@@ -80,10 +87,10 @@
 	return o.Version, nil
 }
 
-func (m *Member) watchRoster(ctx context.Context, sentAt time.Time, after int64, timeout time.Duration) (int64, error) {
-	ctx, cancel := context.WithTimeout(objectapi.WithTimeout(ctx, timeout), longPollTimeout+timeout)
+func (m *Member) watchRoster(ctx context.Context, sentAt time.Time, after int64, wait, timeout time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(objectapi.WithTimeout(ctx, timeout), wait+timeout)
 	defer cancel()
-	changes, err := m.opts.Objects.Watch(ctx, rosterKind, after, longPollTimeout)
+	changes, err := m.opts.Objects.Watch(ctx, rosterKind, after, wait)
 	if err != nil {
 		return after, err
 	}
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -18,7 +19,10 @@
 // information.
 func (p *components) countCall(c objectapi.Call) {
 	result, kind := "ok", c.Kind
-	if c.Err != nil {
+	switch {
+	case errors.Is(c.Err, objectapi.ErrWatchEnded):
+		result = "cutOff"
+	case c.Err != nil:
 		result = "failed"
 	}
 	if strings.HasPrefix(kind, "claim") {
