Derive the silence in which entries expire from the heartbeat of servers

The platform removes an entry after three heartbeats without, and says how long these are; the limit was fixed for heartbeats of 1 s. Deployments with longer ones gave missing entries time after outages in which none can have expired, those with shorter ones would drop live servers after outages of one to 1.75 s. The setting serverHeartbeatMillis takes the platform's value.

--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -122,6 +122,7 @@
 	in.follower = platformstate.NewFollower(platformstate.Options{
 		State: in.state, Objects: objects, Dialect: d, Log: telemetry.ComponentLogger(in.tel.Log, "platform"), Now: time.Now,
 		Rank: in.table.Rank, Broadcast: in.gossip.Broadcast, StartWait: in.startupWait(), InstanceCount: in.instances, PropagationLimits: propagationLimits(cfg),
+		ServerHeartbeat: time.Duration(cfg.ServerHeartbeatMillis * float64(time.Millisecond)),
 	})
 	return in.buildServer(ctx, lb, watch)
 }
--- a/internal/platformstate/answered_test.go
+++ b/internal/platformstate/answered_test.go
@@ -53,7 +53,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var a answered
+			a := answered{limits: newSilenceLimits(time.Second, 2*time.Second)}
 			a.merge(after(-time.Minute), after(0), false)
 			tt.learn(&a)
 			ended, ok := a.silenceEnded()
@@ -65,6 +65,23 @@
 	}
 }
 
+// Guards against a time for entries to reappear after a silence in which none can have expired, where
+// servers renew them seldom.
+func TestSilenceLimitsFollowHeartbeat(t *testing.T) {
+	tests := map[string]struct{ heartbeat, failed, unasked time.Duration }{
+		"often":   {500 * time.Millisecond, 750 * time.Millisecond, 2250 * time.Millisecond},
+		"default": {time.Second, 1750 * time.Millisecond, 2250 * time.Millisecond},
+		"seldom":  {2 * time.Second, 3750 * time.Millisecond, 3750 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newSilenceLimits(tt.heartbeat, 2*time.Second)
+			require.Equal(t, tt.failed, l.shortest(true))
+			require.Equal(t, tt.unasked, l.shortest(false))
+		})
+	}
+}
+
 // Guards against servers that are kept for good or dropped too early: the time in which an entry may
 // reappear begins with the end of a silence, comes once, and isn't moved on by later failures.
 func TestEntriesReappearOncePerSilence(t *testing.T) {
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -76,6 +76,8 @@
 	// PropagationLimits are the times within which changes must take effect; zero means the
 	// default.
 	PropagationLimits PropagationLimits
+	// ServerHeartbeat is how often backend servers renew their entries; zero means the default of 1 s.
+	ServerHeartbeat time.Duration
 	// Broadcast, if set, broadcasts what has changed. It must not block.
 	Broadcast func()
 }
@@ -115,6 +117,10 @@
 	if opts.Broadcast == nil {
 		opts.Broadcast = func() {}
 	}
+	if opts.ServerHeartbeat == 0 {
+		opts.ServerHeartbeat = defaultServerHeartbeat
+	}
+	opts.State.SetServerHeartbeat(opts.ServerHeartbeat, opts.PropagationLimits.Servers)
 	opts.State.SetLog(opts.Log)
 	return &Follower{opts: opts, started: opts.Now(), backoff: objectapi.Backoff{Min: minRetryDelay, Max: maxRetryDelay}}
 }
--- a/internal/platformstate/state.go
+++ b/internal/platformstate/state.go
@@ -122,6 +122,7 @@
 	s := &State{
 		servers: map[string]entry{}, departed: map[string]int64{}, touched: map[string]map[string]bool{}, zones: map[string]bool{}, names: map[string]string{}, releases: newReleases(), changed: make(chan struct{}, 1),
 	}
+	s.SetServerHeartbeat(defaultServerHeartbeat, DefaultPropagationLimits.Servers)
 	s.hashes[Zones] = zonesHash(s.zones)
 	s.hashes[Rollouts] = rolloutsHash(nil)
 	s.eligible.Store(&map[string][]*Server{})
@@ -133,6 +134,12 @@
 // state is shared.
 func (s *State) SetLog(log zerolog.Logger) { s.log = log }
 
+// SetServerHeartbeat sets how often backend servers renew their entries, and the time within which
+// changes of servers must take effect. It must be called before the state is shared.
+func (s *State) SetServerHeartbeat(interval, propagation time.Duration) {
+	s.answered.limits = newSilenceLimits(interval, propagation)
+}
+
 // Changed receives a value after servers or zones have changed. It holds at most one: a
 // slow reader reads the newest state in any case.
 func (s *State) Changed() <-chan struct{} { return s.changed }
@@ -283,7 +290,7 @@
 func (s *State) logSilence(before answered) {
 	ended, ok := s.answered.silenceEnded()
 	known, was := before.silenceEnded()
-	if ok && (!was || ended.Sub(known) > minSilence) {
+	if ok && (!was || ended.Sub(known) > s.answered.limits.failed) {
 		s.log.Info().Time("from", s.answered.silentFrom).Time("to", ended).Msg("platform was silent, entries may have expired")
 	}
 	if was && !ok {
--- a/internal/platformstate/state_test.go
+++ b/internal/platformstate/state_test.go
@@ -74,10 +74,12 @@
 	require.True(t, listed)
 }
 
+const entryExpiry = expiryHeartbeats * defaultServerHeartbeat
+
 // endOutage makes an outage end in which entries of servers may have expired, as this instance sees it.
 func endOutage(s *State, at time.Time) {
 	s.RecordAnswer(at.Add(-entryExpiry), at.Add(-entryExpiry))
-	s.RecordPlatformFailure(at.Add(-heartbeatInterval))
+	s.RecordPlatformFailure(at.Add(-defaultServerHeartbeat))
 	s.RecordAnswer(at, at)
 }
 
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -49,6 +49,9 @@
 	ConfigurationMillis float64 `json:"configurationMillis"`
 	DrainMillis         float64 `json:"drainMillis"`
 	EvacuationMillis    float64 `json:"evacuationMillis"`
+	// ServerHeartbeatMillis is how often backend servers renew their entries in the platform, which
+	// removes an entry after three intervals without; 0 means 1000.
+	ServerHeartbeatMillis float64 `json:"serverHeartbeatMillis"`
 	// RollbackMillis is the time within which a faulty version must stop getting requests; 0 means
 	// that there are no rollouts. ExposureShare is the fraction of a service's requests that a new
 	// version may get before it is promoted, and ExposureSlack is a number of requests on top.
@@ -135,7 +138,7 @@
 	}{
 		{"graceSeconds", s.GraceSeconds}, {"coldOverage", s.ColdOverage}, {"coldSlack", s.ColdSlack},
 		{"linkMegabits", s.LinkMegabits}, {"retryRatio", s.RetryRatio}, {"retrySlack", s.RetrySlack},
-		{"configurationMillis", s.ConfigurationMillis}, {"drainMillis", s.DrainMillis}, {"evacuationMillis", s.EvacuationMillis},
+		{"configurationMillis", s.ConfigurationMillis}, {"drainMillis", s.DrainMillis}, {"evacuationMillis", s.EvacuationMillis}, {"serverHeartbeatMillis", s.ServerHeartbeatMillis},
 		{"rollbackMillis", s.RollbackMillis}, {"exposureShare", s.ExposureShare}, {"exposureSlack", s.ExposureSlack},
 	} {
 		if f.value < 0 {
