Hold back unclear parts until a server of the service answers

A request with several suspected parts is held back for two seconds after the last crash, so that requests with one of them tell which one it is, but nobody could while no engine was there.

Such requests are held back until a request of the service has begun to be answered since the crash, for six seconds at most.

--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -24,8 +24,10 @@
 	// maxTrialWaiters limits the requests that wait for a trial.
 	maxTrialWaiters = 256
 	// unclearInterval is how long a request with several suspected parts is held back since their last
-	// crash: other requests that hold only one of them tell which one it is.
+	// crash: other requests that hold only one of them tell which one it is. None can while no server of
+	// the service answers, so that it is held back until one has, or for maxUnclearTime.
 	unclearInterval = 2 * time.Second
+	maxUnclearTime  = 6 * time.Second
 	// trialRetryAfter is the Retry-After of a request whose trial couldn't begin, with a random part added.
 	trialRetryAfter, trialRetryJitter = time.Second, time.Second
 	// maxVouchDelay spreads the answers of instances that know a suspected part to be sound: the first one
@@ -116,6 +118,22 @@
 	return v
 }
 
+// recordServiceAnswered records that a server of a service has begun to answer a request.
+func (s *Suspects) recordServiceAnswered(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastAnswer[service] = now
+}
+
+// unclear reports whether requests with one suspected part may still tell which of several parts crashes
+// servers of a service.
+func (s *Suspects) unclear(now time.Time, service string, lastCrash time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := now.Sub(lastCrash)
+	return since < unclearInterval || since < maxUnclearTime && !s.lastAnswer[service].After(lastCrash)
+}
+
 // PartRefused reports whether requests with a part must not run.
 func (s *Suspects) PartRefused(now time.Time, part uint64) bool {
 	s.mu.Lock()
@@ -261,7 +279,7 @@
 	if s.opts.Trials == nil {
 		return true
 	}
-	if len(v.suspected) > 1 && now.Sub(v.lastCrash) < unclearInterval {
+	if len(v.suspected) > 1 && s.opts.Suspects.unclear(now, r.service.Name, v.lastCrash) {
 		return false
 	}
 	for i, part := range v.suspected {
@@ -311,6 +329,9 @@
 // recordAnswerBegun records that a server has begun to answer a request: no part of it crashes servers.
 func (s *Server) recordAnswerBegun(r *request) {
 	r.begun.Store(true)
+	if s.opts.Suspects != nil && r.isGeneration() {
+		s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
+	}
 	if len(r.parts) == 0 {
 		return
 	}
--- a/internal/ingress/suspect_parts_test.go
+++ b/internal/ingress/suspect_parts_test.go
@@ -66,3 +66,31 @@
 	started.Merge(now, s.Newest(now))
 	require.True(t, started.PartRefused(now, 2), "an instance that starts")
 }
+
+// Guards against requests with several suspected parts that crash the servers which have just returned,
+// before requests with one of the parts could tell which one it is.
+func TestUnclearPartsWaitForAnsweringServers(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		since    time.Duration
+		answered string
+		unclear  bool
+	}{
+		"crashed just now":                    {time.Second, "llm", true},
+		"servers answer":                      {unclearInterval, "llm", false},
+		"no server answers":                   {maxUnclearTime - 1, "", true},
+		"servers of another service answer":   {maxUnclearTime - 1, "desk", true},
+		"no server has answered for too long": {maxUnclearTime, "", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewSuspects()
+			crash := now.Add(-tt.since)
+			s.recordServiceAnswered(crash.Add(-time.Second), "llm")
+			if tt.answered != "" {
+				s.recordServiceAnswered(crash.Add(time.Millisecond), tt.answered)
+			}
+			require.Equal(t, tt.unclear, s.unclear(now, "llm", crash))
+		})
+	}
+}
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -37,13 +37,15 @@
 	table *crashsuspect.Table
 	// answered holds the parts that vouch for themselves.
 	answered *partSet
+	// lastAnswer is when a request of each service last began to be answered here.
+	lastAnswer map[string]time.Time
 }
 
 // NewSuspects returns a Suspects without entries.
 func NewSuspects() *Suspects {
 	p := crashsuspect.DefaultParams
 	p.Crashes, p.Retention = suspectCrashLimit, suspectRetention
-	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, table: crashsuspect.NewTable(p), answered: newPartSet()}
+	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
 }
 
 // MergeReceived adds the entries of another instance, and clears those parts for all that this instance
