Check a server once more that accepts a connection after losing one

Cause: a lost request dials the server at once; if that succeeds the server has only aborted a response. A server that ends closes its sockets one after the other, and the listener may be the last. The log has five trials whose connection is lost and no "server crashed while running a request" for them.

A server that still accepts a connection is checked again after 0.1 s. TestCrashIsSeenAfterLateClose fails without it (listener closed after 50 ms).

--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -20,6 +20,9 @@
 	// crashCheckTimeout limits the connection that distinguishes a crashed server from one that
 	// aborted a response.
 	crashCheckTimeout = 300 * time.Millisecond
+	// crashRecheckDelay is the time until a server that still accepts connections is checked once more:
+	// one that crashes closes its connections and its listener one after the other.
+	crashRecheckDelay = 100 * time.Millisecond
 	// suspectRetryAfter is the Retry-After of such a request; other requests of its caller are
 	// served.
 	suspectRetryAfter = 30 * time.Second
@@ -114,23 +117,41 @@
 	if s.opts.Suspects == nil {
 		return
 	}
-	begun, trial := r.begun.Load(), r.triedPart()
-	if known, ok := s.opts.State.Server(server.ID); ok && known.Leaving {
+	s.checkCrash(&lostRequest{request: r, server: server, begun: r.begun.Load(), trial: r.triedPart()}, crashRecheckDelay)
+}
+
+// lostRequest is a request whose connection to a server was lost. begun says whether the server had begun
+// to answer; trial is the part that was tried, 0 for none.
+type lostRequest struct {
+	*request
+	server platformstate.Server
+	begun  bool
+	trial  uint64
+}
+
+// checkCrash records a crash if the server accepts no connection. One that does is checked again after
+// recheck, unless that is 0.
+func (s *Server) checkCrash(lost *lostRequest, recheck time.Duration) {
+	if known, ok := s.opts.State.Server(lost.server.ID); ok && known.Leaving {
 		return
 	}
 	_ = s.workers.Submit(func() {
-		conn, err := s.opts.Dial(context.Background(), server.Address, crashCheckTimeout)
+		conn, err := s.opts.Dial(context.Background(), lost.server.Address, crashCheckTimeout)
 		if err == nil {
 			_ = conn.Close()
+			if recheck > 0 {
+				time.AfterFunc(recheck, func() { s.checkCrash(lost, 0) })
+			}
 			return
 		}
 		if s.opts.LinksLost() {
 			return
 		}
-		s.log.Info().Str("request", r.id).Str("server", server.ID).Bool("begun", begun).Int("parts", len(r.parts)).Err(err).Msg("server crashed while running a request")
-		s.opts.Suspects.recordCrash(s.opts.Now(), server, r.fingerprint)
-		if !begun {
-			s.opts.Suspects.recordPartsCrash(s.opts.Now(), server, r.parts, trial)
+		s.log.Info().Str("request", lost.id).Str("server", lost.server.ID).Bool("begun", lost.begun).Int("parts", len(lost.parts)).Err(err).Msg("server crashed while running a request")
+		now := s.opts.Now()
+		s.opts.Suspects.recordCrash(now, lost.server, lost.fingerprint)
+		if !lost.begun {
+			s.opts.Suspects.recordPartsCrash(now, lost.server, lost.parts, lost.trial)
 		}
 	})
 }
--- a/internal/ingress/suspects_test.go
+++ b/internal/ingress/suspects_test.go
@@ -21,8 +21,9 @@
 type crashingServer struct {
 	server  *httptest.Server
 	crashed atomic.Bool
-	// survives makes the server abort the response and keep running instead.
-	survives bool
+	// survives makes the server abort the response and keep running instead, closesLate close its
+	// listener a moment after the connection.
+	survives, closesLate bool
 }
 
 func (f *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -33,7 +34,11 @@
 		_, _ = io.WriteString(w, "ok")
 		return
 	}
-	if !f.survives {
+	switch {
+	case f.closesLate:
+		f.crashed.Store(true)
+		time.AfterFunc(crashRecheckDelay/2, func() { _ = f.server.Listener.Close() })
+	case !f.survives:
 		f.crashed.Store(true)
 		_ = f.server.Listener.Close()
 	}
@@ -91,6 +96,15 @@
 	require.Equal(t, http.StatusOK, f.send("POST", "/book/1", "fine").StatusCode, "other requests of the caller are served")
 }
 
+// Guards against a crash that isn't seen because the server still accepts a connection right after it has
+// closed that of the request.
+func TestCrashIsSeenAfterLateClose(t *testing.T) {
+	f, servers := startCrashingServers(t, 1, false)
+	servers[0].closesLate = true
+	require.Equal(t, http.StatusBadGateway, f.send("POST", "/book/1", "crash").StatusCode)
+	require.Eventually(t, func() bool { return len(f.opts.Suspects.Newest(f.clock.now())) == 1 }, testTimeout, 5*time.Millisecond)
+}
+
 // Guards against refusing a request whose servers aborted the response but are running.
 func TestAbortedResponseIsNoCrash(t *testing.T) {
 	f, _ := startCrashingServers(t, 4, true)
