--- a/internal/platformstate/eligible.go
+++ b/internal/platformstate/eligible.go
@@ -49,13 +49,6 @@
 	}
 }
 
-func (e *entry) missingCount() int {
-	if e.isMissing() {
-		return 1
-	}
-	return 0
-}
-
 // hash returns the entry's part of the hash of all servers, which is the sum of the parts.
 func (e *entry) hash() uint64 {
 	if e.isMissing() {
--- a/internal/platformstate/servers.go
+++ b/internal/platformstate/servers.go
@@ -232,29 +232,6 @@
 	return out
 }
 
-// isMissing reports whether the platform doesn't list the entry any more.
-func (e *entry) isMissing() bool { return !e.missingUntil.IsZero() }
-
-// remove removes an entry, or marks it missing while it may reappear.
-func (s *State) remove(now time.Time, known entry) {
-	until, ok := s.reappearLimit(now, &known)
-	if !ok {
-		s.drop(known.ID)
-		return
-	}
-	known.missingUntil = until
-	s.put(known)
-	s.newlyMissing = append(s.newlyMissing, known.ID)
-}
-
-// reappearLimit returns until when an entry that is removed now may reappear: it may have expired
-// while the platform was silent. An entry that has appeared since then was removed.
-func (s *State) reappearLimit(now time.Time, known *entry) (time.Time, bool) {
-	ended, ok := s.answered.silenceEnded()
-	until := ended.Add(reappearTime)
-	return until, ok && now.Before(until) && known.appearedAt.Before(ended) && !known.Leaving
-}
-
 // changesSince returns the changes after a version, or false if they aren't all known.
 // They are also sufficient for any version from minFrom on.
 func (s *State) changesSince(now time.Time, version int64) (changes []Change, minFrom int64, ok bool) {
