--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -190,7 +190,7 @@
 				return errFirstEventTimeout
 			}
 			if cs.writer == nil {
-				cs.s.recordAnswerBegun(cs.r)
+				cs.s.recordAnswerBegun(cs.r, "empty stream")
 				cs.writeHead(response)
 			}
 			return nil
@@ -205,7 +205,7 @@
 			continue
 		}
 		if cs.writer == nil {
-			cs.s.recordAnswerBegun(cs.r)
+			cs.s.recordAnswerBegun(cs.r, "event")
 			cs.recordOrigin(ctx)
 			cs.writeHead(response)
 		}
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -167,28 +167,32 @@
 	if len(entries) == 0 {
 		return
 	}
+	for _, e := range entries {
+		s.Log.Info().Uint64("part", e.Fingerprint).Str("crash", e.Crashes[0].Name).Bool("trial", e.Crashes[0].Trial).Msg("server crashed on a part of prompts")
+	}
 	s.Merge(now, entries)
 	s.Broadcast(entries)
 }
 
 // recordPartsAnswered records that a server has begun to answer a request with these parts, and clears
-// those that are suspects.
-func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64) {
+// those that are suspects. source says for the log what showed that.
+func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64, source string) {
 	s.mu.Lock()
 	for _, part := range parts {
 		s.answered.add(part)
 	}
 	s.mu.Unlock()
-	s.clearParts(now, parts)
+	s.clearParts(now, parts, source)
 }
 
 // clearParts clears those of the parts that have crashed servers.
-func (s *Suspects) clearParts(now time.Time, parts []uint64) {
+func (s *Suspects) clearParts(now time.Time, parts []uint64, source string) {
 	var cleared []crashsuspect.Entry
 	s.mu.Lock()
 	for _, part := range parts {
 		if e, ok := s.table.Get(part); ok && len(e.Crashes) > 0 {
 			cleared = append(cleared, clearedEntry(now, &e))
+			s.Log.Info().Uint64("part", part).Int("crashes", len(e.Crashes)).Str("source", source).Msg("part of prompts cleared of crashes")
 		}
 	}
 	s.mu.Unlock()
@@ -233,7 +237,7 @@
 			}
 		}
 		s.mu.Unlock()
-		s.clearParts(now(), parts)
+		s.clearParts(now(), parts, "earlier answer here")
 	})
 }
 
@@ -327,7 +331,7 @@
 }
 
 // recordAnswerBegun records that a server has begun to answer a request: no part of it crashes servers.
-func (s *Server) recordAnswerBegun(r *request) {
+func (s *Server) recordAnswerBegun(r *request, source string) {
 	r.begun.Store(true)
 	if s.opts.Suspects != nil && r.isGeneration() {
 		s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
@@ -335,7 +339,7 @@
 	if len(r.parts) == 0 {
 		return
 	}
-	s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts)
+	s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts, source)
 	s.endTrials(r, false)
 }
 
--- a/internal/ingress/suspect_parts_test.go
+++ b/internal/ingress/suspect_parts_test.go
@@ -29,10 +29,10 @@
 func TestOtherInstanceVouchesForParts(t *testing.T) {
 	const sound, bad, turnedBad = 1, 2, 3
 	a, b := newSuspectsPair()
-	b.recordPartsAnswered(time.Now(), []uint64{sound, turnedBad})
+	b.recordPartsAnswered(time.Now(), []uint64{sound, turnedBad}, "event")
 	for n := range 4 {
 		a.recordPartsCrash(time.Now(), engineNumber(n), []uint64{sound, bad, turnedBad}, 0)
-		b.recordPartsAnswered(time.Now(), []uint64{sound})
+		b.recordPartsAnswered(time.Now(), []uint64{sound}, "event")
 		if n < 3 {
 			// The answer seen by b vouches once, after the second crash.
 			require.Eventually(t, func() bool { return a.checkParts(time.Now(), []uint64{turnedBad}).verdict == crashsuspect.Clear }, testTimeout, time.Millisecond)
@@ -54,7 +54,7 @@
 	}
 	require.Equal(t, crashsuspect.Suspected, s.checkParts(now, []uint64{1}).verdict, "may be tried")
 	require.Equal(t, crashsuspect.Refused, s.checkParts(now, []uint64{1, 2}).verdict, "a trial wouldn't tell which")
-	s.recordPartsAnswered(now, []uint64{1})
+	s.recordPartsAnswered(now, []uint64{1}, "event")
 	require.Equal(t, crashsuspect.Clear, s.checkParts(now, []uint64{1}).verdict)
 	for n := range 2 {
 		require.Equal(t, []uint64{2}, s.checkParts(now, []uint64{1, 2}).suspected)
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
@@ -35,6 +37,7 @@
 type Suspects struct {
 	// Broadcast sends changed entries to all instances; it must not block.
 	Broadcast func(entries []crashsuspect.Entry)
+	Log       zerolog.Logger
 
 	mu    sync.Mutex
 	table *crashsuspect.Table
@@ -48,7 +51,7 @@
 func NewSuspects() *Suspects {
 	p := crashsuspect.DefaultParams
 	p.Crashes, p.Retention = suspectCrashLimit, suspectRetention
-	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
+	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, Log: zerolog.Nop(), table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
 }
 
 // MergeReceived adds the entries of another instance, and clears those parts for all that this instance
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -98,6 +98,7 @@
 		return err
 	}
 	in.suspects = ingress.NewSuspects()
+	in.suspects.Log = telemetry.ComponentLogger(in.tel.Log, "suspects")
 	in.suspects.Broadcast = func(entries []crashsuspect.Entry) { in.gossip.BroadcastSuspects(entries) }
 	in.trials, err = trialpeer.New(trialpeer.Options{
 		Self: cfg.Instance, Table: in.table, Key: key, Entry: in.suspects.Entry, Merge: in.suspects.Merge, Refused: in.suspects.PartRefused,
