Clear parts of prompts only by what servers write

Cause: any response with the server's seal counted as the beginning of an answer, also 500, 504 and 400, and so did a stream that ends without an event. That cleared all parts of the request on all instances. It also marked the request as begun, so that the crash of the next engine counted against no part.

Only content clears now: an event of a stream, or a good answer with a body. What is known of an attempt begins anew with the next server.

TestOnlyContentClearsParts failed before for failures, timeouts, denials and empty streams; TestCrashCountsAgainstParts for an engine after the failure of another.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -239,7 +239,9 @@
 	case streamDone:
 		return false, res.err
 	case responded:
-		s.recordAnswerBegun(r, "response "+strconv.Itoa(res.response.Status))
+		if res.response.Status < http.StatusMultipleChoices && len(res.response.Body) > 0 {
+			s.recordWritten(r, "response "+strconv.Itoa(res.response.Status))
+		}
 		t.sends++
 		t.possibleRuns++
 		s.recordOutcome(place.Server, r, rollout.MetricAnswer, res.response.Status >= http.StatusInternalServerError, now.Sub(t.sentAt))
--- /dev/null
+++ b/internal/ingress/part_evidence_test.go
@@ -0,0 +1,201 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
+	"pollenspindle.example/pollenspindle/internal/dialect"
+)
+
+const prefixField = "T-Prefix"
+
+// withParts lets a server find the parts of prompts.
+func withParts(o *Options) {
+	o.Suspects = NewSuspects()
+	o.Dialect.Fields.Prefix = prefixField
+	o.Dialect.DecodePrefix = func(value string) []string { return strings.Split(value, ",") }
+}
+
+// verdict returns what is known of a part of prompts for the engines.
+func (f *fixture) verdict(part string) crashsuspect.Verdict {
+	return f.opts.Suspects.checkParts(f.clock.now(), []uint64{crashsuspect.PartKey("llm", part)}).verdict
+}
+
+// recordCrashes records crashes on a part of prompts, after which it is suspected.
+func (f *fixture) recordCrashes(part string) {
+	for n := range 2 {
+		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(n), []uint64{crashsuspect.PartKey("llm", part)}, 0)
+	}
+	require.Equal(f.t, crashsuspect.Suspected, f.verdict(part))
+}
+
+// Each case guards against an answer that clears a part of prompts without showing that a server can write
+// on it, or against one that shows it and doesn't.
+func TestOnlyContentClearsParts(t *testing.T) {
+	for name, tt := range map[string]struct {
+		path    string
+		handle  func(w http.ResponseWriter, r *http.Request)
+		cleared bool
+	}{
+		"event":                       {"/plan/1", sendEvents(1, 3, true), true},
+		"event of a resumable stream": {"/check/1", sendEvents(1, 3, true), true},
+		"event, then the end":         {"/plan/1", sendEvents(1, 1, false), true},
+		"failure":                     {"/plan/1", respondWith(http.StatusInternalServerError), false},
+		"failure, resumable":          {"/check/1", respondWith(http.StatusInternalServerError), false},
+		"timeout":                     {"/plan/1", respondWith(http.StatusGatewayTimeout), false},
+		"denied":                      {"/plan/1", respondWith(http.StatusBadRequest), false},
+		"empty stream":                {"/plan/1", func(http.ResponseWriter, *http.Request) {}, false},
+		"head only": {"/plan/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, false},
+		"comment, no event": {"/plan/1", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, ": ping\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, false},
+		"rejected": {"/plan/1", refuseRequest, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, map[string]http.Handler{"llm-1": &backend{handle: tt.handle}, "llm-2": &backend{handle: tt.handle}}, withParts)
+			f.recordCrashes("bad")
+			resp := f.send("POST", tt.path, "{}", prefixField, "bad,own")
+			_, _ = io.Copy(io.Discard, resp.Body)
+			want := crashsuspect.Suspected
+			if tt.cleared {
+				want = crashsuspect.Clear
+			}
+			require.Equal(t, want, f.verdict("bad"), "status %d", resp.StatusCode)
+		})
+	}
+}
+
+// crashingEngine crashes when it begins to write on a part that is called bad. It answers the first requests
+// with failures of its own.
+type crashingEngine struct {
+	server   *httptest.Server
+	failures *atomic.Int64
+	crashed  atomic.Bool
+	// beforeCrash is called before the engine crashes.
+	beforeCrash func()
+	// keepsListener leaves the listener open, as if another process had taken the address.
+	keepsListener bool
+}
+
+func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	w.Header().Set("T-Seal", "sealed")
+	switch {
+	case e.failures.Add(-1) >= 0:
+		w.WriteHeader(http.StatusInternalServerError)
+	case strings.HasPrefix(r.Header.Get(prefixField), "bad,"):
+		e.beforeCrash()
+		e.crashed.Store(true)
+		if !e.keepsListener {
+			_ = e.server.Listener.Close()
+		}
+		panic(http.ErrAbortHandler)
+	default:
+		_, _ = io.WriteString(w, "id: 1\ndata: e1\n\n")
+	}
+}
+
+// startCrashingEngines returns a fixture with n engines that crash on a part, after some failures of their own.
+func startCrashingEngines(t *testing.T, n, failures int, prepare func(e *crashingEngine)) (*fixture, []*crashingEngine) {
+	f := startFixture(t, nil, withParts)
+	remaining := &atomic.Int64{}
+	remaining.Store(int64(failures))
+	var engines []*crashingEngine
+	for i := range n {
+		e := &crashingEngine{failures: remaining, beforeCrash: func() {}}
+		if prepare != nil {
+			prepare(e)
+		}
+		e.server = httptest.NewServer(e)
+		t.Cleanup(e.server.Close)
+		engines = append(engines, e)
+		f.servers = append(f.servers, dialect.Server{
+			ID: fmt.Sprint("llm-", i), Service: "llm", Zone: fmt.Sprint("zone-", i), Slots: 6, StartedAtMillis: 1, Address: strings.TrimPrefix(e.server.URL, "http://"),
+		})
+	}
+	f.state.ReplaceServers(f.clock.now(), 2, f.servers)
+	return f, engines
+}
+
+// uncleared returns the number of crashes that count against a part.
+func (f *fixture) uncleared(part string) int {
+	e, _ := f.opts.Suspects.Entry(crashsuspect.PartKey("llm", part))
+	return len(e.Crashes)
+}
+
+// Each case guards against the crash of an engine that counts against no part of the request that it was
+// about to answer.
+func TestCrashCountsAgainstParts(t *testing.T) {
+	leave := make(chan context.CancelFunc, 1)
+	for name, tt := range map[string]struct {
+		path string
+		// failures are the answers with a failure before.
+		failures int
+		prepare  func(f *fixture, e *crashingEngine)
+		// known lets the part be suspected before, restarts has the platform list a new incarnation.
+		known, restarts bool
+		want            int
+	}{
+		"first attempt":                       {path: "/plan/1", want: 1},
+		"after the failure of another engine": {path: "/check/1", failures: 1, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, engines := startCrashingEngines(t, 3, tt.failures, nil)
+			if tt.prepare != nil {
+				for _, e := range engines {
+					tt.prepare(f, e)
+				}
+			}
+			if tt.known {
+				f.recordCrashes("bad")
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			if tt.known {
+				leave <- cancel
+			}
+			f.sendUntil(ctx, tt.path, "bad,own")
+			if tt.restarts {
+				for i := range f.servers {
+					f.servers[i].StartedAtMillis = 2
+				}
+				f.state.ReplaceServers(f.clock.now(), 3, f.servers)
+			}
+			require.Eventually(t, func() bool { return f.uncleared("bad") >= tt.want }, testTimeout, 5*time.Millisecond)
+		})
+	}
+}
+
+// sendUntil sends a request of a caller that leaves when ctx ends.
+func (f *fixture) sendUntil(ctx context.Context, path, prompt string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+path, strings.NewReader("{}"))
+	require.NoError(f.t, err)
+	req.Host = "api.example"
+	for name, value := range map[string]string{"T-Id": "id-1", "T-Key": "secret", "T-Deadline": "20000", prefixField: prompt} {
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -77,6 +77,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The limit may expire at the moment in which the first event is relayed.
+	r.begun.Store(false)
 	timer := time.AfterFunc(limit, func() {
 		if cs.stream.expireFirstEvent() {
 			cancel()
@@ -190,7 +191,6 @@
 				return errFirstEventTimeout
 			}
 			if cs.writer == nil {
-				cs.s.recordAnswerBegun(cs.r, "empty stream")
 				cs.writeHead(response)
 			}
 			return nil
@@ -204,8 +204,10 @@
 		if ev.ID > 0 && ev.ID <= cs.stream.lastEventID() {
 			continue
 		}
+		if !cs.r.begun.Load() {
+			cs.s.recordWritten(cs.r, "event")
+		}
 		if cs.writer == nil {
-			cs.s.recordAnswerBegun(cs.r, "event")
 			cs.recordOrigin(ctx)
 			cs.writeHead(response)
 		}
@@ -377,6 +379,7 @@
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
+	cs.r.begun.Store(false)
 	ctx = cs.askRest(ctx)
 	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
 	if err != nil {
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -174,8 +174,8 @@
 	s.Broadcast(entries)
 }
 
-// recordPartsAnswered records that a server has begun to answer a request with these parts, and clears
-// those that are suspects. source says for the log what showed that.
+// recordPartsAnswered records that a server has written on these parts, and clears those that are suspects.
+// source says for the log what showed that.
 func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64, source string) {
 	s.mu.Lock()
 	for _, part := range parts {
@@ -315,8 +315,8 @@
 	}
 }
 
-// endTrialsWith ends the trials of a request whose attempt has ended. Those whose answer began have ended
-// before.
+// endTrialsWith ends the trials of a request whose attempt has ended. Those whose server has written on
+// them have ended before.
 func (s *Server) endTrialsWith(r *request, res result) {
 	lost, ok := res.(failed)
 	s.endTrials(r, ok && lost.cause == retry.CauseLost)
@@ -330,8 +330,10 @@
 	return 0
 }
 
-// recordAnswerBegun records that a server has begun to answer a request: no part of it crashes servers.
-func (s *Server) recordAnswerBegun(r *request, source string) {
+// recordWritten records that a server has written a part of the answer to a request: no part of its prompt
+// crashes servers. The head of an answer, a failure of the server's own or an answer without content don't
+// show that: servers send them without having read the prompt.
+func (s *Server) recordWritten(r *request, source string) {
 	r.begun.Store(true)
 	if s.opts.Suspects != nil && r.isGeneration() {
 		s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
