Let the clearing of a suspect name the crashes that it clears

Cause: a clear held for all crashes before its time, by the clock of the instance that cleared. One that is ahead hides the crashes of the next 2.4 s, and one that is behind leaves a crash standing that it saw answered.

A clear names the crashes that were known when the answer came. Each of them stays cleared, in whichever order instances hear of both, and no other does. The fields of entries are in camel case now.

TestClearingByAFastClockHidesNoLaterCrash failed before for the clock that is ahead.

--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -58,22 +58,61 @@
 // Crash is the crash of one incarnation of a backend server. Its name, from
 // [CrashName], makes a crash that several instances see count once.
 type Crash struct {
-	Name string    `json:"Name"`
-	At   time.Time `json:"At"`
+	Name string    `json:"name"`
+	At   time.Time `json:"at"`
 	// Trial says that the part was the only suspected one of its request, and in a trial.
-	Trial bool `json:"Trial,omitempty"`
+	Trial bool `json:"trial,omitempty"`
+	// Cleared says that the request has finished, or that the part was written on, since the crash. It
+	// doesn't depend on the clocks of the instances that saw the one and the other.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // Entry holds the crashes of one request. Instances send entries to each other.
 type Entry struct {
-	Fingerprint uint64  `json:"Fingerprint"`
-	Crashes     []Crash `json:"Crashes"`
+	Fingerprint uint64  `json:"fingerprint"`
+	Crashes     []Crash `json:"crashes"`
 	// ClearedAt is when the request last finished; earlier crashes don't count.
-	ClearedAt time.Time `json:"ClearedAt"`
+	ClearedAt time.Time `json:"clearedAt"`
 	// RefusedAt is about when a request with a refused part last came.
-	RefusedAt time.Time `json:"RefusedAt,omitzero"`
+	RefusedAt time.Time `json:"refusedAt,omitzero"`
 	// Part says that the fingerprint is the key of a part of prompts.
-	Part bool `json:"Part,omitempty"`
+	Part bool `json:"part,omitempty"`
+}
+
+// keptClearedCrashes is the number of cleared crashes that are kept of an entry, so that late news of them
+// don't count.
+const keptClearedCrashes = 16
+
+// Uncleared returns the crashes that count, in order of time.
+func (e *Entry) Uncleared() []Crash {
+	var out []Crash
+	for _, c := range e.Crashes {
+		if !c.Cleared {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// uncleared returns the number of crashes that count.
+func (e *Entry) uncleared() int {
+	n := 0
+	for _, c := range e.Crashes {
+		if !c.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// Clearing returns an entry that clears the known crashes of an entry, and no others.
+func (e *Entry) Clearing() Entry {
+	out := Entry{Fingerprint: e.Fingerprint, Part: e.Part}
+	for _, c := range e.Uncleared() {
+		c.Cleared = true
+		out.Crashes = append(out.Crashes, c)
+	}
+	return out
 }
 
 func (e *Entry) clone() Entry {
@@ -123,7 +162,7 @@
 
 // merge merges another entry of the request: the crashes form a set without those
 // before the latest ClearedAt, so the order of merges makes no difference. At most
-// keep crashes remain.
+// keep crashes that count remain.
 func (e *Entry) merge(in Entry, keep int) {
 	if in.ClearedAt.After(e.ClearedAt) {
 		e.ClearedAt = in.ClearedAt
@@ -136,8 +175,16 @@
 	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(e.ClearedAt) })
 	// The newest crashes and those in trials are enough to decide.
-	for len(e.Crashes) > keep {
-		oldest := max(0, slices.IndexFunc(e.Crashes, func(c Crash) bool { return !c.Trial }))
+	n := e.uncleared()
+	for ; n > keep; n-- {
+		oldest := slices.IndexFunc(e.Crashes, func(c Crash) bool { return !c.Cleared && !c.Trial })
+		if oldest < 0 {
+			oldest = slices.IndexFunc(e.Crashes, func(c Crash) bool { return !c.Cleared })
+		}
+		e.Crashes = slices.Delete(e.Crashes, oldest, oldest+1)
+	}
+	for len(e.Crashes)-n > keptClearedCrashes {
+		oldest := slices.IndexFunc(e.Crashes, func(c Crash) bool { return c.Cleared })
 		e.Crashes = slices.Delete(e.Crashes, oldest, oldest+1)
 	}
 }
@@ -147,9 +194,9 @@
 func (e *Entry) add(c Crash) {
 	i := slices.IndexFunc(e.Crashes, func(o Crash) bool { return o.Name == c.Name })
 	if i >= 0 {
-		c.Trial = c.Trial || e.Crashes[i].Trial
+		c.Trial, c.Cleared = c.Trial || e.Crashes[i].Trial, c.Cleared || e.Crashes[i].Cleared
 		if !c.At.Before(e.Crashes[i].At) {
-			e.Crashes[i].Trial = c.Trial
+			e.Crashes[i].Trial, e.Crashes[i].Cleared = c.Trial, c.Cleared
 			return
 		}
 		e.Crashes = slices.Delete(e.Crashes, i, i+1)
--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -42,11 +42,12 @@
 	if !ok || t.expired(now, e.Entry) {
 		return Clear
 	}
-	if len(e.Crashes) < partCrashes {
+	crashes := e.Uncleared()
+	if len(crashes) < partCrashes {
 		return Clear
 	}
 	failed := t.failedTrials(e)
-	if failed < failedTrials || failed == failedTrials && now.Sub(e.Crashes[len(e.Crashes)-1].At) >= retrialAfter {
+	if failed < failedTrials || failed == failedTrials && now.Sub(crashes[len(crashes)-1].At) >= retrialAfter {
 		return Suspected
 	}
 	return Refused
@@ -57,7 +58,7 @@
 func (t *Table) failedTrials(e *record) int {
 	n := 0
 	for _, c := range e.Crashes {
-		if c.Trial && !t.explained(e.Fingerprint, c.Name) {
+		if c.Trial && !c.Cleared && !t.explained(e.Fingerprint, c.Name) {
 			n++
 		}
 	}
@@ -68,8 +69,8 @@
 func (t *Table) explained(part uint64, crash string) bool {
 	for at := t.active.Front(); at != nil; at = at.Next() {
 		e := at.Value.(*record)
-		if e.Part && e.Fingerprint != part && len(e.Crashes) >= partCrashes &&
-			slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Name == crash }) {
+		if e.Part && e.Fingerprint != part && e.uncleared() >= partCrashes &&
+			slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Name == crash && !c.Cleared }) {
 			return true
 		}
 	}
@@ -91,7 +92,7 @@
 // more: a trial doesn't tell which of them is the cause.
 func (t *Table) Untryable(key uint64) bool {
 	e, ok := t.entries[key]
-	return ok && len(e.Crashes) >= maxPartCrashes
+	return ok && e.uncleared() >= maxPartCrashes
 }
 
 // Get returns the entry of a fingerprint or a part.
--- a/internal/crashsuspect/table.go
+++ b/internal/crashsuspect/table.go
@@ -46,9 +46,9 @@
 func (t *Table) Check(now time.Time, fingerprint uint64) Verdict {
 	e, ok := t.entries[fingerprint]
 	switch {
-	case !ok || len(e.Crashes) == 0 || t.expired(now, e.Entry) || t.causedByZoneLoss(e.Entry):
+	case !ok || e.uncleared() == 0 || t.expired(now, e.Entry) || t.causedByZoneLoss(e.Entry):
 		return Clear
-	case len(e.Crashes) >= t.params.Crashes:
+	case e.uncleared() >= t.params.Crashes:
 		return Refused
 	}
 	return Suspected
@@ -58,7 +58,8 @@
 // Otherwise a lost zone would make thousands of requests suspects. A request that ran
 // on two servers when they crashed remains a suspect in any case.
 func (t *Table) causedByZoneLoss(e Entry) bool {
-	return len(e.Crashes) == 1 && t.zones.crashedTogether(e.Crashes[0], t.params.ZoneCrashes, t.params.ZoneWindow)
+	crashes := e.Uncleared()
+	return len(crashes) == 1 && t.zones.crashedTogether(crashes[0], t.params.ZoneCrashes, t.params.ZoneWindow)
 }
 
 // RetryAfter returns how long a refused request stays refused.
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -137,7 +137,7 @@
 // uncleared returns the number of crashes that count against a part.
 func (f *fixture) uncleared(part string) int {
 	e, _ := f.opts.Suspects.Entry(crashsuspect.PartKey("llm", part))
-	return len(e.Crashes)
+	return len(e.Uncleared())
 }
 
 // Each case guards against the crash of an engine that counts against no part of the request that it was
@@ -199,3 +199,31 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
+
+// Guards against crashes that don't count because another instance, whose clock is ahead, has cleared the part
+// before them.
+func TestClearingByAFastClockHidesNoLaterCrash(t *testing.T) {
+	const part = 1
+	start := time.Now()
+	for name, ahead := range map[string]time.Duration{"ahead": 2400 * time.Millisecond, "same": 0, "behind": -2400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			a, b := NewSuspects(), NewSuspects()
+			a.Broadcast = func(entries []crashsuspect.Entry) { b.Merge(start, entries) }
+			b.Broadcast = func(entries []crashsuspect.Entry) { a.Merge(start, entries) }
+			for n := range 2 {
+				a.recordPartsCrash(start, engineNumber(n), []uint64{part}, 0)
+			}
+			answeredAt := start.Add(100 * time.Millisecond)
+			b.recordPartsAnswered(answeredAt.Add(ahead), []uint64{part}, "event")
+			for n, s := range []*Suspects{a, b} {
+				require.Equal(t, crashsuspect.Clear, s.checkParts(answeredAt, []uint64{part}).verdict, "instance %d", n)
+			}
+			for n := range 2 {
+				a.recordPartsCrash(answeredAt.Add(time.Second), engineNumber(10+n), []uint64{part}, 0)
+			}
+			for n, s := range []*Suspects{a, b} {
+				require.Equal(t, crashsuspect.Suspected, s.checkParts(answeredAt.Add(time.Second), []uint64{part}).verdict, "instance %d", n)
+			}
+		})
+	}
+}
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -104,8 +104,8 @@
 			if s.table.Untryable(part) {
 				untryable++
 			}
-			if e, ok := s.table.Get(part); ok && e.Crashes[len(e.Crashes)-1].At.After(v.lastCrash) {
-				v.lastCrash = e.Crashes[len(e.Crashes)-1].At
+			if e, ok := s.table.Get(part); ok {
+				v.lastCrash = latest(v.lastCrash, lastUncleared(e))
 			}
 		case crashsuspect.Clear:
 		}
@@ -118,6 +118,20 @@
 	return v
 }
 
+func lastUncleared(e crashsuspect.Entry) (last time.Time) {
+	for _, c := range e.Uncleared() {
+		last = latest(last, c.At)
+	}
+	return last
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // recordServiceAnswered records that a server of a service has begun to answer a request.
 func (s *Suspects) recordServiceAnswered(now time.Time, service string) {
 	s.mu.Lock()
@@ -190,9 +204,9 @@
 	var cleared []crashsuspect.Entry
 	s.mu.Lock()
 	for _, part := range parts {
-		if e, ok := s.table.Get(part); ok && len(e.Crashes) > 0 {
-			cleared = append(cleared, clearedEntry(now, &e))
-			s.Log.Info().Uint64("part", part).Int("crashes", len(e.Crashes)).Str("source", source).Msg("part of prompts cleared of crashes")
+		if e, ok := s.table.Get(part); ok && len(e.Uncleared()) > 0 {
+			cleared = append(cleared, e.Clearing())
+			s.Log.Info().Uint64("part", part).Int("crashes", len(e.Uncleared())).Str("source", source).Msg("part of prompts cleared of crashes")
 		}
 	}
 	s.mu.Unlock()
@@ -202,16 +216,6 @@
 	}
 }
 
-// clearedEntry returns the entry that clears all known crashes of a part, also those that other instances
-// saw by a clock that is ahead.
-func clearedEntry(now time.Time, e *crashsuspect.Entry) crashsuspect.Entry {
-	at := now
-	if last := e.Crashes[len(e.Crashes)-1].At; last.After(at) {
-		at = last
-	}
-	return crashsuspect.Entry{Fingerprint: e.Fingerprint, Part: true, ClearedAt: at}
-}
-
 // vouch clears suspected parts that were answered here, unless another instance does so before. An answer
 // vouches once: a part that has turned bad since would otherwise never be refused.
 func (s *Suspects) vouch(entries []crashsuspect.Entry, now func() time.Time) {
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -97,9 +97,11 @@
 	if s.check(now, fingerprint) == crashsuspect.Clear {
 		return
 	}
-	entry := crashsuspect.Entry{Fingerprint: fingerprint, ClearedAt: now}
-	s.Merge(now, []crashsuspect.Entry{entry})
-	s.Broadcast([]crashsuspect.Entry{entry})
+	if e, ok := s.Entry(fingerprint); ok {
+		entry := e.Clearing()
+		s.Merge(now, []crashsuspect.Entry{entry})
+		s.Broadcast([]crashsuspect.Entry{entry})
+	}
 }
 
 // refuseSuspect refuses a request whose servers have crashed repeatedly, because each further run
