Bound the trials of a suspected part that tell nothing

A suspected part runs in one trial at a time, and is refused after two failed ones.

- A trial in which the engine answers with a failure of its own ended as if it had been answered, and the next one began at once, also of a part that is refused but for one more trial.
- A trial that waits at a crowded engine for more than 4 s was joined by another one each 4 s, and a keeper that starts knows nothing of trials in progress.
- A failed trial didn't count if any other suspected part held the same crash: with a part of another sound request at each engine, no trial ever counted.

The outcome of a trial is told now. After unclear ones the next waits, longer and longer, and from 5 s on if the part is refused but for this trial. The instance that tries renews its trial each second, and an instance that starts grants none for 1.5 s. Only one other part, the one that holds most of the failed trials, explains them.

TestTrialsWithoutAnswer and TestManyPartsExplainNothing fail without the change (the former doesn't build before it).

--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -53,28 +53,49 @@
 	return Refused
 }
 
-// failedTrials returns the number of trials of a part in which a server crashed that no other suspected part
-// explains: requests with that part may have waited at the same server.
+// failedTrials returns the number of trials of a part in which a server crashed, without those that the other
+// suspected part explains that explains most of them: requests with that part may have waited at the same
+// servers. Two parts that explain a trial each aren't enough, since some sound part waits at each server.
 func (t *Table) failedTrials(e *record) int {
+	var trials []string
+	for _, c := range e.Crashes {
+		if c.Trial && !c.Cleared {
+			trials = append(trials, c.Name)
+		}
+	}
+	if len(trials) == 0 {
+		return 0
+	}
+	explained := 0
+	for at := t.active.Front(); at != nil; at = at.Next() {
+		other := at.Value.(*record)
+		if other.Part && other.Fingerprint != e.Fingerprint && other.uncleared() >= partCrashes {
+			explained = max(explained, other.countOf(trials))
+		}
+	}
+	return len(trials) - explained
+}
+
+// FailedTrials returns the number of trials in which servers crashed.
+func (e *Entry) FailedTrials() int {
 	n := 0
 	for _, c := range e.Crashes {
-		if c.Trial && !c.Cleared && !t.explained(e.Fingerprint, c.Name) {
+		if c.Trial && !c.Cleared {
 			n++
 		}
 	}
 	return n
 }
 
-// explained reports whether another suspected part holds a crash.
-func (t *Table) explained(part uint64, crash string) bool {
-	for at := t.active.Front(); at != nil; at = at.Next() {
-		e := at.Value.(*record)
-		if e.Part && e.Fingerprint != part && e.uncleared() >= partCrashes &&
-			slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Name == crash && !c.Cleared }) {
-			return true
+// countOf returns how many of the named crashes count against an entry.
+func (e *Entry) countOf(names []string) int {
+	n := 0
+	for _, c := range e.Crashes {
+		if !c.Cleared && slices.Contains(names, c.Name) {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // refusedInterval is the minimum time between two records that a part is still refused.
--- a/internal/crashsuspect/parts_test.go
+++ b/internal/crashsuspect/parts_test.go
@@ -74,16 +74,79 @@
 func TestTrials(t *testing.T) {
 	now := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
 	trials := NewTrials()
-	require.True(t, trials.Begin(now, 1, "a"))
-	require.False(t, trials.Begin(now, 1, "b"))
-	require.True(t, trials.Begin(now, 2, "b"))
-	trials.End(now, 1, "b", false)
-	require.False(t, trials.Begin(now, 1, "b"), "only the holder ends a trial")
-	trials.End(now, 1, "a", true)
-	require.False(t, trials.Begin(now, 1, "b"), "requests under way have to end first")
+	require.True(t, trials.Begin(now, 1, "a", 0))
+	require.False(t, trials.Begin(now, 1, "b", 0))
+	require.True(t, trials.Begin(now, 2, "b", 0))
+	trials.End(now, 1, "b", TrialAnswered)
+	require.False(t, trials.Begin(now, 1, "b", 0), "only the holder ends a trial")
+	trials.End(now, 1, "a", TrialFailed)
+	require.False(t, trials.Begin(now, 1, "b", 0), "requests under way have to end first")
 	now = now.Add(failedTrialInterval)
-	require.True(t, trials.Begin(now, 1, "b"))
-	trials.End(now, 1, "b", false)
-	require.True(t, trials.Begin(now, 1, "c"))
-	require.True(t, trials.Begin(now.Add(trialTTL), 1, "d"), "the holder has ended")
+	require.True(t, trials.Begin(now, 1, "b", 0))
+	trials.End(now, 1, "b", TrialAnswered)
+	require.True(t, trials.Begin(now, 1, "c", 0))
+	require.True(t, trials.Begin(now.Add(trialTTL), 1, "d", 0), "the holder has ended")
+}
+
+// Guards against engines that go on crashing for a part whose trials end without telling anything, against
+// trials that are joined by others while they wait at a crowded engine, and against keepers that start and
+// know nothing of them.
+func TestTrialsWithoutAnswer(t *testing.T) {
+	start := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	begun := func(outcome TrialOutcome, failed int, d time.Duration) (n int) {
+		trials := NewTrials()
+		for now := start; now.Before(start.Add(d)); now = now.Add(100 * time.Millisecond) {
+			holder := fmt.Sprint("request-", n)
+			if trials.Begin(now, 1, holder, failed) {
+				n++
+				trials.End(now.Add(50*time.Millisecond), 1, holder, outcome)
+			}
+		}
+		return n
+	}
+	for name, tt := range map[string]struct {
+		outcome TrialOutcome
+		failed  int
+		after   time.Duration
+		want    int
+	}{
+		"unclear, soon tried again":       {TrialUnclear, 0, time.Second, fastTrials + 1},
+		"unclear, half a minute":          {TrialUnclear, 0, 30 * time.Second, 13},
+		"unclear, refused but for this":   {TrialUnclear, failedTrials, 4 * time.Second, 1},
+		"unclear, refused, half a minute": {TrialUnclear, failedTrials, 30 * time.Second, 3},
+		"failed":                          {TrialFailed, 0, 3 * time.Second, 3},
+		"reached no server":               {TrialNotRun, 0, 3 * time.Second, 30},
+		"answered":                        {TrialAnswered, 0, 3 * time.Second, 30},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, begun(tt.outcome, tt.failed, tt.after)) })
+	}
+
+	trials, keeper, now := NewTrials(), NewTrials(), start
+	require.True(t, trials.Begin(now, 1, "a", 0))
+	for range 10 {
+		now = now.Add(trialTTL / 2)
+		trials.Renew(now, 1, "a")
+		keeper.Renew(now, 1, "a")
+		require.False(t, trials.Begin(now, 1, "b", 0), "a waits")
+		require.False(t, keeper.Begin(now, 1, "b", 0), "told by the renewal")
+	}
+	trials.End(now, 1, "a", TrialAnswered)
+	require.True(t, trials.Begin(now, 1, "b", 0))
+	trials.Renew(now, 1, "a")
+	require.False(t, trials.Begin(now, 1, "a", 0), "a late renewal takes no trial over")
+}
+
+// Guards against a bad part that is tried without end because another sound part explains each of its trials.
+func TestManyPartsExplainNothing(t *testing.T) {
+	at := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	table := NewTable(DefaultParams)
+	crash := func(part uint64, name string, trial bool) Entry {
+		return Entry{Fingerprint: part, Part: true, Crashes: []Crash{{Name: CrashName("zone", name, "1"), At: at, Trial: trial}}}
+	}
+	table.Merge(at, []Entry{crash(1, "a", true), crash(1, "b", true), crash(1, "c", true)})
+	for part, name := range map[uint64]string{2: "a", 3: "b", 4: "c"} {
+		table.Merge(at, []Entry{crash(part, name, false), crash(part, "elsewhere-"+name, false)})
+	}
+	require.Equal(t, Refused, table.CheckPart(at, 1))
+	require.Equal(t, Suspected, table.CheckPart(at, 2))
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -17,6 +17,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rollout"
@@ -112,7 +113,7 @@
 		}
 		place, refusal := s.chooseServer(ctx, now, r, t)
 		if refusal != nil {
-			s.endTrials(r, false)
+			s.endTrials(r, crashsuspect.TrialNotRun)
 			return s.giveUp(c, r, t, refusal)
 		}
 		t.sentAt = s.opts.Now()
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -293,7 +293,7 @@
 	for i, part := range v.suspected {
 		if !s.opts.Trials.Begin(ctx, part, r.id) {
 			for _, begun := range v.suspected[:i] {
-				s.opts.Trials.End(begun, r.id, false)
+				s.opts.Trials.End(begun, r.id, crashsuspect.TrialNotRun)
 			}
 			return false
 		}
@@ -301,7 +301,7 @@
 	// The keeper may have known more.
 	if s.opts.Suspects.checkParts(s.opts.Now(), v.suspected).verdict == crashsuspect.Refused {
 		r.trials.Store(&v.suspected)
-		s.endTrials(r, false)
+		s.endTrials(r, crashsuspect.TrialNotRun)
 		return false
 	}
 	r.trials.Store(&v.suspected)
@@ -311,10 +311,10 @@
 }
 
 // endTrials ends the trials of a request.
-func (s *Server) endTrials(r *request, crashed bool) {
+func (s *Server) endTrials(r *request, outcome crashsuspect.TrialOutcome) {
 	if parts := r.trials.Swap(nil); parts != nil {
 		for _, part := range *parts {
-			s.opts.Trials.End(part, r.id, crashed)
+			s.opts.Trials.End(part, r.id, outcome)
 		}
 	}
 }
@@ -322,8 +322,16 @@
 // endTrialsWith ends the trials of a request whose attempt has ended. Those whose server has written on
 // them have ended before.
 func (s *Server) endTrialsWith(r *request, res result) {
-	lost, ok := res.(failed)
-	s.endTrials(r, ok && lost.cause == retry.CauseLost)
+	outcome := crashsuspect.TrialUnclear
+	if f, ok := res.(failed); ok {
+		switch {
+		case !f.mayHaveRun:
+			outcome = crashsuspect.TrialNotRun
+		case f.cause == retry.CauseLost:
+			outcome = crashsuspect.TrialFailed
+		}
+	}
+	s.endTrials(r, outcome)
 }
 
 // triedPart returns the part that a request tries alone; 0 if there is none.
@@ -339,14 +347,14 @@
 // show that: servers send them without having read the prompt.
 func (s *Server) recordWritten(r *request, source string) {
 	r.begun.Store(true)
-	if s.opts.Suspects != nil && r.isGeneration() {
-		s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
-	}
-	if len(r.parts) == 0 {
+	if s.opts.Suspects == nil || !r.isGeneration() {
 		return
 	}
-	s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts, source)
-	s.endTrials(r, false)
+	s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
+	if len(r.parts) > 0 {
+		s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts, source)
+		s.endTrials(r, crashsuspect.TrialAnswered)
+	}
 }
 
 func (s *Server) partRefusedFailure(r *request) *answer.Failure {
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -102,7 +102,8 @@
 	in.suspects.Broadcast = func(entries []crashsuspect.Entry) { in.gossip.BroadcastSuspects(entries) }
 	in.trials, err = trialpeer.New(trialpeer.Options{
 		Self: cfg.Instance, Table: in.table, Key: key, Entry: in.suspects.Entry, Merge: in.suspects.Merge, Refused: in.suspects.PartRefused,
-		Log: telemetry.ComponentLogger(in.tel.Log, "trials"), Now: in.now,
+		Settle: trialpeer.SettleTime,
+		Log:    telemetry.ComponentLogger(in.tel.Log, "trials"), Now: in.now,
 	})
 	if err != nil {
 		return err
--- a/internal/trialpeer/peer.go
+++ b/internal/trialpeer/peer.go
@@ -9,7 +9,7 @@
 //	p := trialpeer.New(trialpeer.Options{...})
 //	if p.Begin(ctx, part, requestID) {
 //		...
-//		p.End(part, requestID, crashed)
+//		p.End(part, requestID, outcome)
 //	}
 package trialpeer
 
@@ -32,12 +32,17 @@
 
 const (
 	beginProcedure = "/pollenspindle.trial.v1.Trial/Begin"
+	renewProcedure = "/pollenspindle.trial.v1.Trial/Renew"
 	endProcedure   = "/pollenspindle.trial.v1.Trial/End"
 	callTimeout    = 150 * time.Millisecond
 	// keeperCount is the number of instances that are tried as the keeper of a part.
 	keeperCount = 2
-	// maxCalls limits the concurrent calls that end trials. A trial that isn't ended ends by itself.
+	// maxCalls limits the concurrent calls that renew and end trials. A trial that isn't ended ends by itself.
 	maxCalls = 32
+	// renewInterval is the time between two renewals of a trial in progress, SettleTime how long an instance
+	// that starts should grant no trial: longer than it takes until the trials in progress are renewed.
+	renewInterval = time.Second
+	SettleTime    = 1500 * time.Millisecond
 )
 
 // Options configures a [Peer].
@@ -50,8 +55,10 @@
 	Merge func(now time.Time, entries []crashsuspect.Entry)
 	// Refused reports whether this instance knows that a part must not be tried.
 	Refused func(now time.Time, part uint64) bool
-	Log     zerolog.Logger
-	Now     func() time.Time
+	// Settle is how long after its start the instance grants no trial; see [SettleTime].
+	Settle time.Duration
+	Log    zerolog.Logger
+	Now    func() time.Time
 }
 
 // BeginRequest asks the keeper of a part for a trial.
@@ -73,22 +80,40 @@
 type EndRequest struct {
 	Part   uint64 `json:"part"`
 	Holder string `json:"holder"`
-	// Crashed says that the server of the trial has crashed.
-	Crashed bool `json:"crashed,omitempty"`
+	// Outcome is what the trial has shown.
+	Outcome crashsuspect.TrialOutcome `json:"outcome,omitempty"`
 }
 
 // EndResponse confirms an [EndRequest].
 type EndResponse struct{}
 
+// RenewRequest tells a keeper that a trial is in progress.
+type RenewRequest struct {
+	Part   uint64 `json:"part"`
+	Holder string `json:"holder"`
+}
+
+// RenewResponse confirms a [RenewRequest].
+type RenewResponse struct{}
+
+// heldTrial is a trial of this instance.
+type heldTrial struct {
+	part   uint64
+	holder string
+}
+
 // Peer begins and ends the trials of one instance, and keeps those of parts that it is the keeper of. It is
 // safe for concurrent use.
 type Peer struct {
-	opts   Options
-	client *instancerpc.Client
-	calls  *ants.Pool
+	opts      Options
+	client    *instancerpc.Client
+	calls     *ants.Pool
+	startedAt time.Time
 
 	mu     sync.Mutex
 	trials *crashsuspect.Trials
+	// held has the timers that renew the trials of this instance.
+	held map[heldTrial]*time.Timer
 }
 
 // New returns a peer.
@@ -97,17 +122,81 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "make pool of calls")
 	}
-	return &Peer{opts: opts, client: instancerpc.NewClient(opts.Key, opts.Self, callTimeout), calls: calls, trials: crashsuspect.NewTrials()}, nil
+	return &Peer{
+		opts: opts, client: instancerpc.NewClient(opts.Key, opts.Self, callTimeout), calls: calls, startedAt: opts.Now(),
+		trials: crashsuspect.NewTrials(), held: map[heldTrial]*time.Timer{},
+	}, nil
 }
 
 // Close ends the connections to other instances.
 func (p *Peer) Close() {
+	p.mu.Lock()
+	for trial, timer := range p.held {
+		timer.Stop()
+		delete(p.held, trial)
+	}
+	p.mu.Unlock()
 	p.calls.Release()
 	p.client.CloseIdleConnections()
 }
 
-// Begin reports whether the holder may try a part now.
+// Begin reports whether the holder may try a part now. The trial is renewed until End is called.
 func (p *Peer) Begin(ctx context.Context, part uint64, holder string) bool {
+	granted := p.askKeepers(ctx, part, holder)
+	if granted {
+		p.mu.Lock()
+		p.renewLater(heldTrial{part, holder})
+		p.mu.Unlock()
+	}
+	return granted
+}
+
+// renewLater renews a trial after renewInterval, and again until it has ended. p.mu must be held.
+func (p *Peer) renewLater(trial heldTrial) {
+	p.held[trial] = time.AfterFunc(renewInterval, func() {
+		p.mu.Lock()
+		_, held := p.held[trial]
+		if held {
+			p.renewLater(trial)
+		}
+		p.mu.Unlock()
+		if held {
+			p.renew(trial)
+		}
+	})
+}
+
+// renew tells the keepers of a part that its trial is in progress.
+func (p *Peer) renew(trial heldTrial) {
+	req := RenewRequest{Part: trial.part, Holder: p.opts.Self + "/" + trial.holder}
+	for _, keeper := range p.opts.Table.Holders(trial.part, keeperCount) {
+		if keeper.ID == p.opts.Self {
+			p.renewOwn(p.opts.Now(), req)
+			continue
+		}
+		p.submit(keeper, func() error { return p.callRenew(keeper, req) })
+	}
+}
+
+func (p *Peer) renewOwn(now time.Time, req RenewRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trials.Renew(now, req.Part, req.Holder)
+}
+
+// submit makes a call in the background.
+func (p *Peer) submit(keeper membership.Record, call func() error) {
+	err := p.calls.Submit(func() {
+		if err := call(); err != nil {
+			p.opts.Log.Debug().Str("instance", keeper.ID).Err(err).Msg("keeper of a suspected part not told of a trial")
+		}
+	})
+	if err != nil {
+		p.opts.Log.Warn().Str("instance", keeper.ID).Err(err).Msg("too many calls, keeper of a suspected part not told of a trial")
+	}
+}
+
+func (p *Peer) askKeepers(ctx context.Context, part uint64, holder string) bool {
 	req := BeginRequest{Part: part, Holder: p.opts.Self + "/" + holder, Entry: p.entry(part)}
 	for _, keeper := range p.opts.Table.Holders(part, keeperCount) {
 		if keeper.ID == p.opts.Self {
@@ -126,15 +215,21 @@
 	return false
 }
 
-// End ends a trial in the background; crashed says that its server has crashed.
-func (p *Peer) End(part uint64, holder string, crashed bool) {
-	req := EndRequest{Part: part, Holder: p.opts.Self + "/" + holder, Crashed: crashed}
+// End ends a trial in the background.
+func (p *Peer) End(part uint64, holder string, outcome crashsuspect.TrialOutcome) {
+	p.mu.Lock()
+	if timer, ok := p.held[heldTrial{part, holder}]; ok {
+		timer.Stop()
+		delete(p.held, heldTrial{part, holder})
+	}
+	p.mu.Unlock()
+	req := EndRequest{Part: part, Holder: p.opts.Self + "/" + holder, Outcome: outcome}
 	for _, keeper := range p.opts.Table.Holders(part, keeperCount) {
 		if keeper.ID == p.opts.Self {
 			p.end(p.opts.Now(), req)
 			continue
 		}
-		_ = p.calls.Submit(func() { p.callEnd(keeper, req) })
+		p.submit(keeper, func() error { return p.callEnd(keeper, req) })
 	}
 }
 
@@ -150,18 +245,22 @@
 		p.opts.Merge(now, []crashsuspect.Entry{*req.Entry})
 	}
 	granted := false
-	if !p.opts.Refused(now, req.Part) {
+	entry, failed := p.entry(req.Part), 0
+	if entry != nil {
+		failed = entry.FailedTrials()
+	}
+	if !p.opts.Refused(now, req.Part) && now.Sub(p.startedAt) >= p.opts.Settle {
 		p.mu.Lock()
-		granted = p.trials.Begin(now, req.Part, req.Holder)
+		granted = p.trials.Begin(now, req.Part, req.Holder, failed)
 		p.mu.Unlock()
 	}
-	return BeginResponse{Granted: granted, Entry: p.entry(req.Part)}
+	return BeginResponse{Granted: granted, Entry: entry}
 }
 
 func (p *Peer) end(now time.Time, req EndRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.trials.End(now, req.Part, req.Holder, req.Crashed)
+	p.trials.End(now, req.Part, req.Holder, req.Outcome)
 }
 
 func (p *Peer) callBegin(ctx context.Context, keeper membership.Record, req BeginRequest) (BeginResponse, error) {
@@ -177,15 +276,24 @@
 	return *res.Msg, nil
 }
 
-func (p *Peer) callEnd(keeper membership.Record, req EndRequest) {
+func (p *Peer) callEnd(keeper membership.Record, req EndRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	client := connect.NewClient[EndRequest, EndResponse](p.client.HTTP, "http://"+keeper.Peer+endProcedure, instancerpc.ClientOptions()...)
 	signed := connect.NewRequest(&req)
 	p.client.Sign(p.opts.Now(), signed.Header(), endProcedure)
-	if _, err := client.CallUnary(ctx, signed); err != nil {
-		p.opts.Log.Debug().Str("instance", keeper.ID).Err(err).Msg("end of a trial not told")
-	}
+	_, err := client.CallUnary(ctx, signed)
+	return err
+}
+
+func (p *Peer) callRenew(keeper membership.Record, req RenewRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	client := connect.NewClient[RenewRequest, RenewResponse](p.client.HTTP, "http://"+keeper.Peer+renewProcedure, instancerpc.ClientOptions()...)
+	signed := connect.NewRequest(&req)
+	p.client.Sign(p.opts.Now(), signed.Header(), renewProcedure)
+	_, err := client.CallUnary(ctx, signed)
+	return err
 }
 
 // Handlers returns the HTTP handlers for calls from other instances, by path.
@@ -206,9 +314,18 @@
 		p.end(now, *req.Msg)
 		return connect.NewResponse(&EndResponse{}), nil
 	}
+	renew := func(_ context.Context, req *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error) {
+		now := p.opts.Now()
+		if err := instancerpc.Verify(p.opts.Key, now, req.Header(), renewProcedure); err != nil {
+			return nil, err
+		}
+		p.renewOwn(now, *req.Msg)
+		return connect.NewResponse(&RenewResponse{}), nil
+	}
 	options := instancerpc.HandlerOptions()
 	return map[string]http.Handler{
 		beginProcedure: connect.NewUnaryHandler(beginProcedure, begin, options...),
 		endProcedure:   connect.NewUnaryHandler(endProcedure, end, options...),
+		renewProcedure: connect.NewUnaryHandler(renewProcedure, renew, options...),
 	}
 }
--- a/internal/trialpeer/peer_test.go
+++ b/internal/trialpeer/peer_test.go
@@ -95,7 +95,7 @@
 	}
 	closeKeeper(keepers[0].ID)
 	require.True(t, other.Begin(t.Context(), part, "a"))
-	other.End(part, "a", false)
+	other.End(part, "a", crashsuspect.TrialAnswered)
 	require.Eventually(t, func() bool { return other.Begin(t.Context(), part, "b") }, time.Second, time.Millisecond)
 	closeKeeper(keepers[1].ID)
 	require.False(t, other.Begin(t.Context(), part, "c"))
