See the crashes of servers that were missed

A server that crashed took one worker for each request.

Checks have a pool of their own and one check for each incarnation of a server, which holds for all requests that lose their connection to it. A check that is left out is logged and counted. Servers of callers that leave are checked if the request, or a part of it, may have crashed others, so that callers that leave cost no connections otherwise.

TestOneCheckForAllRequestsOfAServer is about the pool.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -257,6 +257,9 @@
 		s.log.Info().Str("request", r.id).Str("server", id).Str("cause", string(res.cause)).Bool("mayHaveRun", res.mayHaveRun).
 			Dur("took", now.Sub(r.start)).Err(res.err).Msg("attempt failed")
 		if ctx.Err() != nil {
+			if res.cause == retry.CauseLost && s.opts.Suspects != nil && s.opts.Suspects.hasCrashed(r.fingerprint, r.parts) {
+				s.reportCrash(place.Server, r)
+			}
 			return false, s.callerGone(c)
 		}
 		if res.cause == retry.CauseLost {
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/stretchr/testify/require"
 
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/platformstate"
 )
 
 const prefixField = "T-Prefix"
@@ -153,8 +155,14 @@
 		known, restarts bool
 		want            int
 	}{
-		"first attempt":                       {path: "/plan/1", want: 1},
-		"after the failure of another engine": {path: "/check/1", failures: 1, want: 1},
+		"first attempt":                        {path: "/plan/1", want: 1},
+		"after the failure of another engine":  {path: "/check/1", failures: 1, want: 1},
+		"the address is taken, entry is new":   {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.keepsListener = true }, restarts: true, want: 1},
+		"the caller leaves as the engine does": {path: "/plan/1", known: true, prepare: func(_ *fixture, e *crashingEngine) { e.beforeCrash = func() { (<-leave)() } }, want: 3},
+		"a busy instance has no worker to spare": {path: "/plan/1", prepare: func(f *fixture, _ *crashingEngine) {
+			f.workers.Tune(1)
+			_ = f.workers.Submit(func() { <-f.t.Context().Done() })
+		}, want: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, engines := startCrashingEngines(t, 3, tt.failures, nil)
@@ -227,3 +235,24 @@
 		})
 	}
 }
+
+// Guards against a crash that counts once for each request that runs on the server, and against checks that
+// dial once for each.
+func TestOneCheckForAllRequestsOfAServer(t *testing.T) {
+	f, engines := startCrashingEngines(t, 1, 0, nil)
+	_ = engines[0].server.Listener.Close()
+	server, _ := f.state.Server("llm-0")
+	dials := &atomic.Int64{}
+	dial := f.opts.Dial
+	f.opts.Dial = func(ctx context.Context, address string, timeout time.Duration) (network.Conn, error) {
+		dials.Add(1)
+		return dial(ctx, address, timeout)
+	}
+	for i := range 2 * maxLostRequests {
+		<-f.reportCrash(platformstate.Server{Server: server.Server}, &request{id: fmt.Sprint(i), fingerprint: uint64(i), parts: []uint64{7}})
+	}
+	require.EqualValues(t, 1, dials.Load())
+	e, _ := f.opts.Suspects.Entry(7)
+	require.Len(t, e.Uncleared(), 1)
+	require.True(t, f.opts.Suspects.hasCrashed(2*maxLostRequests-1, nil))
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -150,6 +150,7 @@
 	memory         *memoryBudget
 	streams        *activeStreams
 	workers        *ants.Pool
+	crashes        *crashChecks
 	// streamBegan wakes migrateGenerations for a stream that has begun on a leaving engine.
 	streamBegan chan struct{}
 	log         zerolog.Logger
@@ -208,6 +209,9 @@
 	if s.workers, err = ants.NewPool(maxWorkers, ants.WithNonblocking(true)); err != nil {
 		return nil, merry.Prepend(err, "make worker pool")
 	}
+	if s.crashes, err = newCrashChecks(s); err != nil {
+		return nil, merry.Prepend(err, "make pool of crash checks")
+	}
 	if opts.DetectSilence {
 		s.silence = newSilenceDetector(s)
 	}
@@ -319,6 +323,7 @@
 		}
 	}
 	s.workers.Release()
+	s.crashes.workers.Release()
 	s.upstream.Close()
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -383,6 +383,9 @@
 	ctx = cs.askRest(ctx)
 	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
 	if err != nil {
+		if classifyError(err).cause == retry.CauseLost && ctx.Err() == nil {
+			cs.s.reportCrash(place.Server, cs.r)
+		}
 		return nil, cs.askError(ctx, err)
 	}
 	if res, ok := cs.s.classifyResponse(cs.r, response).(failed); ok {
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -118,6 +118,18 @@
 	return v
 }
 
+// hasCrashed reports whether a request, or one of its parts, may have crashed a server.
+func (s *Suspects) hasCrashed(fingerprint uint64, parts []uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range append([]uint64{fingerprint}, parts...) {
+		if e, ok := s.table.Get(key); ok && len(e.Uncleared()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func lastUncleared(e crashsuspect.Entry) (last time.Time) {
 	for _, c := range e.Uncleared() {
 		last = latest(last, c.At)
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,12 +18,6 @@
 	// engines often exit for other reasons and take innocent requests with them.
 	suspectCrashLimit = 3
 	suspectRetention  = 5 * time.Minute
-	// crashCheckTimeout limits the connection that distinguishes a crashed server from one that
-	// aborted a response.
-	crashCheckTimeout = 300 * time.Millisecond
-	// crashRecheckDelay is the time until a server that still accepts connections is checked once more:
-	// one that crashes closes its connections and its listener one after the other.
-	crashRecheckDelay = 100 * time.Millisecond
 	// suspectRetryAfter is the Retry-After of such a request; other requests of its caller are
 	// served.
 	suspectRetryAfter = 30 * time.Second
@@ -116,49 +109,13 @@
 	return f
 }
 
-// reportCrash records a crash for a request whose connection was lost, if the server has crashed:
-// it didn't announce that it leaves and accepts no connection any more.
-func (s *Server) reportCrash(server platformstate.Server, r *request) {
+// reportCrash checks whether the server crashed to which a request has lost its connection. The result is
+// closed when the server has been checked for the first time.
+func (s *Server) reportCrash(server platformstate.Server, r *request) <-chan struct{} {
 	if s.opts.Suspects == nil {
-		return
-	}
-	s.checkCrash(&lostRequest{request: r, server: server, begun: r.begun.Load(), trial: r.triedPart()}, crashRecheckDelay)
-}
-
-// lostRequest is a request whose connection to a server was lost. begun says whether the server had begun
-// to answer; trial is the part that was tried, 0 for none.
-type lostRequest struct {
-	*request
-	server platformstate.Server
-	begun  bool
-	trial  uint64
-}
-
-// checkCrash records a crash if the server accepts no connection. One that does is checked again after
-// recheck, unless that is 0.
-func (s *Server) checkCrash(lost *lostRequest, recheck time.Duration) {
-	if known, ok := s.opts.State.Server(lost.server.ID); ok && known.Leaving {
-		return
+		return nil
 	}
-	_ = s.workers.Submit(func() {
-		conn, err := s.opts.Dial(context.Background(), lost.server.Address, crashCheckTimeout)
-		if err == nil {
-			_ = conn.Close()
-			if recheck > 0 {
-				time.AfterFunc(recheck, func() { s.checkCrash(lost, 0) })
-			}
-			return
-		}
-		if s.opts.LinksLost() {
-			return
-		}
-		s.log.Info().Str("request", lost.id).Str("server", lost.server.ID).Bool("begun", lost.begun).Int("parts", len(lost.parts)).Err(err).Msg("server crashed while running a request")
-		now := s.opts.Now()
-		s.opts.Suspects.recordCrash(now, lost.server, lost.fingerprint)
-		if !lost.begun {
-			s.opts.Suspects.recordPartsCrash(now, lost.server, lost.parts, lost.trial)
-		}
-	})
+	return s.crashes.reportLost(server, &lostRequest{request: r, at: s.opts.Now(), begun: r.begun.Load(), trial: r.triedPart()})
 }
 
 // clearSuspect records that a request has completed.
