Check a request for crashes before each send

A request was checked before its first attempt, and its parts before it waited for a server.

TestCrashingReadIsRefusedBetweenAttempts failed before (more than three servers crashed); TestPartsAreCheckedAfterWaiting doesn't build before.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -96,9 +96,6 @@
 	if f := s.refuseWhileDraining(s.opts.Now(), r); f != nil {
 		return f
 	}
-	if f := s.refuseSuspect(s.opts.Now(), r); f != nil {
-		return f
-	}
 	if f := s.findOrigin(ctx, r); f != nil {
 		return f
 	}
@@ -108,6 +105,9 @@
 		if !now.Before(r.startDeadline) {
 			return s.giveUp(c, r, t, timeoutFailure(t))
 		}
+		if f := s.refuseSuspect(s.opts.Now(), r); f != nil {
+			return s.giveUp(c, r, t, f)
+		}
 		if f := s.admitParts(ctx, r); f != nil {
 			return s.giveUp(c, r, t, f)
 		}
@@ -116,6 +116,11 @@
 			s.endTrials(r, crashsuspect.TrialNotRun)
 			return s.giveUp(c, r, t, refusal)
 		}
+		if !s.partsAllowed(r, false) {
+			s.opts.Balancer.Release(place)
+			s.endTrials(r, crashsuspect.TrialNotRun)
+			continue
+		}
 		t.sentAt = s.opts.Now()
 		res := s.attempt(ctx, c, r, place, t)
 		again, err := s.handleResult(ctx, c, r, place, t, res)
@@ -264,7 +269,7 @@
 		}
 		if res.cause == retry.CauseLost {
 			s.recordOutcome(place.Server, r, rollout.MetricAnswer, true, 0)
-			s.reportCrash(place.Server, r)
+			s.awaitCrashCheck(ctx, r, s.reportCrash(place.Server, r))
 		}
 		if res.cause != retry.CauseRefused && !s.opts.LinksLost() {
 			s.opts.Balancer.RecordFailure(now, id)
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -17,6 +17,7 @@
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
+	"pollenspindle.example/pollenspindle/internal/trialpeer"
 )
 
 const prefixField = "T-Prefix"
@@ -208,6 +209,46 @@
 	return resp.StatusCode
 }
 
+// Guards against a request that goes on from the server that it has crashed as the last one allowed to the next.
+func TestCrashingReadIsRefusedBetweenAttempts(t *testing.T) {
+	f, servers := startCrashingServers(t, 8, false)
+	for i := range 4 {
+		status := f.send("POST", "/read/1", "crash", "T-Id", fmt.Sprint("crash-", i)).StatusCode
+		require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, status)
+	}
+	crashed := 0
+	for _, s := range servers {
+		if s.crashed.Load() {
+			crashed++
+		}
+	}
+	require.Equal(t, suspectCrashLimit, crashed)
+}
+
+// Guards against requests that were admitted before a part of theirs was known to crash servers, and are sent
+// after they have waited.
+func TestPartsAreCheckedAfterWaiting(t *testing.T) {
+	f, engines := startCrashingEngines(t, 3, 0, nil)
+	r := &request{parts: []uint64{crashsuspect.PartKey("llm", "bad")}, service: nil}
+	require.True(t, f.partsAllowed(r, false), "nothing is known")
+	f.recordCrashes("bad")
+	f.opts.Trials = &trialpeer.Peer{}
+	require.False(t, f.partsAllowed(r, false), "suspected, not tried")
+	require.True(t, f.partsAllowed(r, true), "a server has written on it")
+	r.trials.Store(&r.parts)
+	require.True(t, f.partsAllowed(r, false), "tried")
+	f.opts.Trials = nil
+	for n := range 3 {
+		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(10+n), r.parts, r.parts[0])
+	}
+	require.False(t, f.partsAllowed(r, false), "refused")
+	require.False(t, f.partsAllowed(r, true), "refused")
+	require.Equal(t, http.StatusServiceUnavailable, f.sendUntil(t.Context(), "/plan/1", "bad,own"))
+	for _, e := range engines {
+		require.False(t, e.crashed.Load())
+	}
+}
+
 // Guards against crashes that don't count because another instance, whose clock is ahead, has cleared the part
 // before them.
 func TestClearingByAFastClockHidesNoLaterCrash(t *testing.T) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -168,6 +168,7 @@
 	errCallerGone        = merry.Sentinel("the caller has disconnected")
 	errCutoverRefused    = merry.Sentinel("the engine refused to stop the generation, which has ended")
 	errSourceStillRuns   = merry.Sentinel("the source engine of the copy hasn't stopped the generation")
+	errPartSuspected     = merry.Sentinel("a part of the request may crash backend servers")
 	errNotResumable      = merry.Sentinel("the route isn't resumable, or the retry budget is exhausted")
 )
 
@@ -379,6 +380,9 @@
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
+	if !cs.s.partsAllowed(cs.r, cs.writer != nil) {
+		return nil, errPartSuspected
+	}
 	cs.r.begun.Store(false)
 	ctx = cs.askRest(ctx)
 	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -257,6 +257,24 @@
 	})
 }
 
+// partsAllowed reports whether a request may still be sent that was admitted before it waited. One that a
+// server has begun to write on may go on elsewhere, unless a part of it is refused.
+func (s *Server) partsAllowed(r *request, begun bool) bool {
+	if len(r.parts) == 0 {
+		return true
+	}
+	v := s.opts.Suspects.checkParts(s.opts.Now(), r.parts)
+	switch v.verdict {
+	case crashsuspect.Clear:
+		return true
+	case crashsuspect.Suspected:
+		tried := r.trials.Load()
+		return begun || s.opts.Trials == nil || tried != nil && !slices.ContainsFunc(v.suspected, func(part uint64) bool { return !slices.Contains(*tried, part) })
+	case crashsuspect.Refused:
+	}
+	return false
+}
+
 // admitParts lets a request run whose parts may crash servers: not if one of them does, and in a trial if
 // that isn't known yet. It waits a moment for its trial.
 func (s *Server) admitParts(ctx context.Context, r *request) *answer.Failure {
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -118,6 +119,18 @@
 	return s.crashes.reportLost(server, &lostRequest{request: r, at: s.opts.Now(), begun: r.begun.Load(), trial: r.triedPart()})
 }
 
+// awaitCrashCheck waits for the check of a server that a request lost if the request may have crashed others:
+// its next attempt could crash one more.
+func (s *Server) awaitCrashCheck(ctx context.Context, r *request, checked <-chan struct{}) {
+	if s.opts.Suspects == nil || !s.opts.Suspects.hasCrashed(r.fingerprint, r.parts) {
+		return
+	}
+	select {
+	case <-checked:
+	case <-ctx.Done():
+	}
+}
+
 // clearSuspect records that a request has completed.
 func (s *Server) clearSuspect(now time.Time, r *request) {
 	if s.opts.Suspects != nil {
