Let only recent answers vouch for parts of prompts

An instance that has seen a part answered clears it for the others when news of its crashes arrive, so that shared first parts stay sound. How long ago that answer was made no difference: an instance that was cut off, or that seldom sees the part, could clear one that has turned bad since, also in the moment in which it is to be tried once more.

An answer vouches for one second, longer than news take.

--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -277,6 +277,17 @@
 	}
 }
 
+// Guards against an answer from before a part turned bad that vouches for it long after.
+func TestOldAnswerDoesNotVouch(t *testing.T) {
+	const part = 1
+	a, b := newSuspectsPair()
+	b.recordPartsAnswered(time.Now().Add(-2*maxVouchAge), []uint64{part}, "event")
+	for n := range 2 {
+		a.recordPartsCrash(time.Now(), engineNumber(n), []uint64{part}, 0)
+	}
+	require.Never(t, func() bool { return a.checkParts(time.Now(), []uint64{part}).verdict == crashsuspect.Clear }, 2*maxVouchDelay, 10*time.Millisecond)
+}
+
 // Guards against a crash that counts once for each request that runs on the server, and against checks that
 // dial once for each.
 func TestOneCheckForAllRequestsOfAServer(t *testing.T) {
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -35,27 +35,32 @@
 	maxVouchDelay = 150 * time.Millisecond
 	// answeredParts is the number of parts in each of two generations that are known to have been answered.
 	answeredParts = 4096
+	// maxVouchAge is how old an answer may be that vouches for its parts: older than news of a crash take to
+	// arrive, it says nothing of a part that has turned bad since.
+	maxVouchAge = time.Second
 )
 
-// partSet holds the parts of prompts that servers have begun to answer, without the oldest ones.
-type partSet struct{ newer, older map[uint64]struct{} }
+// partSet holds when servers last wrote on parts of prompts, without the oldest ones.
+type partSet struct{ newer, older map[uint64]time.Time }
 
-func newPartSet() *partSet { return &partSet{map[uint64]struct{}{}, map[uint64]struct{}{}} }
+func newPartSet() *partSet { return &partSet{map[uint64]time.Time{}, map[uint64]time.Time{}} }
 
-func (p *partSet) add(part uint64) {
+func (p *partSet) add(now time.Time, part uint64) {
 	if len(p.newer) >= answeredParts {
-		p.newer, p.older = map[uint64]struct{}{}, p.newer
+		p.newer, p.older = map[uint64]time.Time{}, p.newer
 	}
-	p.newer[part] = struct{}{}
+	p.newer[part] = now
 }
 
-// take reports whether the part is in the set, and removes it.
-func (p *partSet) take(part uint64) bool {
-	_, newer := p.newer[part]
-	_, older := p.older[part]
+// take reports whether a server has written on the part within maxVouchAge, and removes it.
+func (p *partSet) take(now time.Time, part uint64) bool {
+	at, ok := p.newer[part]
+	if !ok {
+		at, ok = p.older[part]
+	}
 	delete(p.newer, part)
 	delete(p.older, part)
-	return newer || older
+	return ok && now.Sub(at) <= maxVouchAge
 }
 
 // promptParts returns the keys of the parts of a prompt that other requests may share: all but the last.
@@ -175,14 +180,14 @@
 }
 
 // recordPartsCrash records that a server crashed before it began to answer a request with these parts.
-// Parts that were answered here since the last crash are left out. trial is the part that was tried, 0 for
+// Parts that were written on here just before are left out, once. trial is the part that was tried, 0 for
 // none.
 func (s *Suspects) recordPartsCrash(now time.Time, server platformstate.Server, parts []uint64, trial uint64) {
 	name := crashName(server)
 	var entries []crashsuspect.Entry
 	s.mu.Lock()
 	for _, part := range parts {
-		if s.answered.take(part) {
+		if s.answered.take(now, part) {
 			continue
 		}
 		entries = append(entries, crashsuspect.Entry{
@@ -205,7 +210,7 @@
 func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64, source string) {
 	s.mu.Lock()
 	for _, part := range parts {
-		s.answered.add(part)
+		s.answered.add(now, part)
 	}
 	s.mu.Unlock()
 	s.clearParts(now, parts, source)
@@ -228,13 +233,14 @@
 	}
 }
 
-// vouch clears suspected parts that were answered here, unless another instance does so before. An answer
-// vouches once: a part that has turned bad since would otherwise never be refused.
+// vouch clears suspected parts that were written on here while news of their crashes were on the way, unless
+// another instance does so before. An answer vouches once: a part that has turned bad since would otherwise
+// never be refused.
 func (s *Suspects) vouch(entries []crashsuspect.Entry, now func() time.Time) {
 	known := map[uint64]bool{}
 	s.mu.Lock()
 	for _, e := range entries {
-		if e.Part && s.table.CheckPart(now(), e.Fingerprint) == crashsuspect.Suspected && s.answered.take(e.Fingerprint) {
+		if e.Part && s.table.CheckPart(now(), e.Fingerprint) == crashsuspect.Suspected && s.answered.take(now(), e.Fingerprint) {
 			known[e.Fingerprint] = true
 		}
 	}
@@ -249,7 +255,7 @@
 			if s.table.CheckPart(now(), part) == crashsuspect.Suspected {
 				parts = append(parts, part)
 			} else {
-				s.answered.add(part)
+				s.answered.add(now(), part)
 			}
 		}
 		s.mu.Unlock()
