Keep crash suspects in the platform

Cause: suspects were held in memory only, and an instance that starts gets them from one that runs.

What is refused, and parts that are suspected, have an object each in the platform, of a kind of our own. The first two holders of its key write it under its revision, and take over what another one has written meanwhile; each instance reads all of them when it starts. Objects of cleared requests and old ones are deleted.

TestCrashSuspectsOutlastInstances doesn't build before.

--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -125,6 +125,32 @@
 	return e.clone(), true
 }
 
+// keptRefusalPrecision limits how often an entry that [Table.Kept] returns changes as requests are refused.
+const keptRefusalPrecision = time.Minute
+
+// Kept returns the entries of requests that are refused and of parts that mustn't run freely, at most n, the
+// last changed first.
+func (t *Table) Kept(now time.Time, n int) []Entry {
+	var out []Entry
+	for at := t.active.Front(); at != nil && len(out) < n; at = at.Next() {
+		e := at.Value.(*record)
+		if t.restricted(now, e) {
+			kept := e.clone()
+			kept.RefusedAt = kept.RefusedAt.Truncate(keptRefusalPrecision)
+			out = append(out, kept)
+		}
+	}
+	return out
+}
+
+// restricted reports whether requests with an entry mustn't run freely.
+func (t *Table) restricted(now time.Time, e *record) bool {
+	if e.Part {
+		return t.CheckPart(now, e.Fingerprint) != Clear
+	}
+	return t.Check(now, e.Fingerprint) == Refused
+}
+
 // RefusedParts returns the entries of parts that are refused, at most n.
 func (t *Table) RefusedParts(now time.Time, n int) []Entry {
 	var out []Entry
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -79,6 +79,8 @@
 	Servers           string
 	DrainedZones      string
 	Rollouts          string
+	// CrashSuspects is the kind of this project's own objects for requests that crash servers.
+	CrashSuspects string
 }
 
 // Server is a backend server as the platform lists it.
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -31,7 +31,9 @@
 type Suspects struct {
 	// Broadcast sends changed entries to all instances; it must not block.
 	Broadcast func(entries []crashsuspect.Entry)
-	Log       zerolog.Logger
+	// Changed is called after entries have changed; it must not block.
+	Changed func()
+	Log     zerolog.Logger
 
 	mu    sync.Mutex
 	table *crashsuspect.Table
@@ -45,7 +47,7 @@
 func NewSuspects() *Suspects {
 	p := crashsuspect.DefaultParams
 	p.Crashes, p.Retention = suspectCrashLimit, suspectRetention
-	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, Log: zerolog.Nop(), table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
+	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, Changed: func() {}, Log: zerolog.Nop(), table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
 }
 
 // MergeReceived adds the entries of another instance, and clears those parts for all that this instance
@@ -57,9 +59,20 @@
 
 // Merge adds entries.
 func (s *Suspects) Merge(now time.Time, entries []crashsuspect.Entry) {
+	if len(entries) == 0 {
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.table.Merge(now, entries)
+	s.mu.Unlock()
+	s.Changed()
+}
+
+// Kept returns the entries that outlast all instances, at most n.
+func (s *Suspects) Kept(now time.Time, n int) []crashsuspect.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Kept(now, n)
 }
 
 // Newest returns the entries that are sent to a starting instance.
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -33,6 +33,7 @@
 	"pollenspindle.example/pollenspindle/internal/serverdial"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/settings"
+	"pollenspindle.example/pollenspindle/internal/suspectobjects"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
 	"pollenspindle.example/pollenspindle/internal/trialpeer"
 )
@@ -100,6 +101,11 @@
 	in.suspects = ingress.NewSuspects()
 	in.suspects.Log = telemetry.ComponentLogger(in.tel.Log, "suspects")
 	in.suspects.Broadcast = func(entries []crashsuspect.Entry) { in.gossip.BroadcastSuspects(entries) }
+	in.suspectObjects = suspectobjects.New(suspectobjects.Options{
+		Objects: objects, Kind: d.Kinds.CrashSuspects, Entries: in.suspects.Kept, Merge: in.suspects.Merge, Writes: in.writesSuspect,
+		Log: telemetry.ComponentLogger(in.tel.Log, "suspects"), Now: in.now,
+	})
+	in.suspects.Changed = in.suspectObjects.Changed
 	in.trials, err = trialpeer.New(trialpeer.Options{
 		Self: cfg.Instance, Table: in.table, Key: key, Entry: in.suspects.Entry, Merge: in.suspects.Merge, Refused: in.suspects.PartRefused,
 		Settle: trialpeer.SettleTime,
@@ -149,6 +155,14 @@
 	return out
 }
 
+// suspectWriters is the number of instances that write what is known of a crash suspect into the platform.
+const suspectWriters = 2
+
+// writesSuspect reports whether this instance writes what is known of a crash suspect into the platform.
+func (in *instance) writesSuspect(fingerprint uint64) bool {
+	return slices.ContainsFunc(in.table.Holders(fingerprint, suspectWriters), func(r membership.Record) bool { return r.ID == in.cfg.Instance })
+}
+
 // linksLost reports whether this instance's own links to all backend servers are lost.
 func (in *instance) linksLost() bool { return in.links.Status().Lost }
 
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -39,6 +39,7 @@
 	"pollenspindle.example/pollenspindle/internal/serverdial"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
 	"pollenspindle.example/pollenspindle/internal/settings"
+	"pollenspindle.example/pollenspindle/internal/suspectobjects"
 	"pollenspindle.example/pollenspindle/internal/telemetry"
 	"pollenspindle.example/pollenspindle/internal/trialpeer"
 	"pollenspindle.example/pollenspindle/pkg/iostreams"
@@ -125,6 +126,8 @@
 	lengths    *lengthpeer.Peer
 	origins    *originpeer.Peer
 	suspects   *ingress.Suspects
+	// suspectObjects keeps the suspects in the platform.
+	suspectObjects *suspectobjects.Keeper
 	trials     *trialpeer.Peer
 	limits     *pushback.Limits
 	pauses     *pushback.Pauses
@@ -178,6 +181,7 @@
 	in.background.Go(func() { in.follower.Run(backgroundCtx) })
 	in.background.Go(func() { in.gossip.Run(backgroundCtx) })
 	in.background.Go(func() { in.planner.Run(backgroundCtx) })
+	in.background.Go(func() { in.suspectObjects.Run(backgroundCtx) })
 	in.background.Go(func() { in.outliers.Run(backgroundCtx) })
 	if in.lengths != nil {
 		in.background.Go(func() { in.lengths.Run(backgroundCtx) })
