Repair missed news of crash suspects

News of a crash go to the other instances once.

Probes carry a digest of the suspects that all should know, and the answer to another digest brings the newest.

--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -151,6 +152,25 @@
 	return t.Check(now, e.Fingerprint) == Refused
 }
 
+// Digest returns a digest of the entries that [Table.Kept] returns, 0 if there are none. Instances with the same
+// digest have nothing to tell each other.
+func (t *Table) Digest(now time.Time) uint64 {
+	var sum uint64
+	for at := t.active.Front(); at != nil; at = at.Next() {
+		e := at.Value.(*record)
+		if !t.restricted(now, e) {
+			continue
+		}
+		digest := xxhash.New()
+		_, _ = digest.WriteString(strconv.FormatUint(e.Fingerprint, 16))
+		for _, c := range e.Uncleared() {
+			_, _ = digest.WriteString("\n" + c.Name + strconv.FormatBool(c.Trial))
+		}
+		sum += digest.Sum64()
+	}
+	return sum
+}
+
 // RefusedParts returns the entries of parts that are refused, at most n.
 func (t *Table) RefusedParts(now time.Time, n int) []Entry {
 	var out []Entry
--- a/internal/crashsuspect/parts_test.go
+++ b/internal/crashsuspect/parts_test.go
@@ -150,3 +150,27 @@
 	require.Equal(t, Refused, table.CheckPart(at, 1))
 	require.Equal(t, Suspected, table.CheckPart(at, 2))
 }
+
+// Guards against digests that differ although the instances know the same, and against equal ones although
+// they don't.
+func TestDigest(t *testing.T) {
+	at := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	crash := func(part uint64, n int) Entry {
+		return Entry{Fingerprint: part, Part: true, Crashes: []Crash{{Name: CrashName("zone", fmt.Sprint(n), "1"), At: at.Add(time.Duration(n))}}}
+	}
+	a, b := NewTable(DefaultParams), NewTable(DefaultParams)
+	require.Zero(t, a.Digest(at))
+	a.Merge(at, []Entry{crash(1, 1), crash(1, 2), crash(2, 3)})
+	b.Merge(at, []Entry{crash(1, 2), crash(1, 1)})
+	require.NotZero(t, a.Digest(at))
+	require.Equal(t, a.Digest(at), b.Digest(at), "a part with one crash runs freely")
+	b.Merge(at, []Entry{crash(1, 4)})
+	require.NotEqual(t, a.Digest(at), b.Digest(at))
+	a.Merge(at, b.Kept(at, 8))
+	require.Equal(t, a.Digest(at), b.Digest(at))
+	e, _ := a.Get(1)
+	a.Merge(at, []Entry{e.Clearing()})
+	require.Zero(t, a.Digest(at))
+	b.Merge(at, a.Newest(at, 8))
+	require.Zero(t, b.Digest(at), "clears are told, too")
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -59,6 +59,7 @@
 	// idleTimeout is longer than callers keep an unused connection.
 	idleTimeout        = time.Minute
 	maxIndirectProbes  = 2
+	maxRefreshCalls    = 3
 	seedProbeOdds      = 8
 	downProbeOdds      = 3
 	maxConcurrentCalls = 48
@@ -86,6 +87,10 @@
 	// an instance that joins; nil for none.
 	ApplySuspects func(now time.Time, entries []crashsuspect.Entry)
 	Suspects      func(now time.Time) []crashsuspect.Entry
+	// SuspectDigest returns a digest of the crash suspects that all should know, and RecentSuspects those
+	// that are sent to an instance with another digest; nil for none.
+	SuspectDigest  func(now time.Time) uint64
+	RecentSuspects func(now time.Time) []crashsuspect.Entry
 	// Limits are the request limits of backend servers; nil for none.
 	Limits *pushback.Limits
 	// ServeBytesPerSecond limits the state that is served to other instances; 0 for the default.
@@ -141,6 +146,12 @@
 	if opts.Suspects == nil {
 		opts.Suspects = func(time.Time) []crashsuspect.Entry { return nil }
 	}
+	if opts.SuspectDigest == nil {
+		opts.SuspectDigest = func(time.Time) uint64 { return 0 }
+	}
+	if opts.RecentSuspects == nil {
+		opts.RecentSuspects = func(time.Time) []crashsuspect.Entry { return nil }
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -237,8 +248,9 @@
 	Update *platformstate.Update `json:"update,omitempty"`
 	// Snapshot tells the receiver to fetch a snapshot instead of an update.
 	Snapshot bool `json:"snapshot,omitempty"`
-	// Suspects are crash suspects.
-	Suspects []crashsuspect.Entry `json:"suspects,omitempty"`
+	// Suspects are crash suspects, SuspectDigest is the digest of those that the sender knows.
+	Suspects      []crashsuspect.Entry `json:"suspects,omitempty"`
+	SuspectDigest uint64               `json:"suspectDigest,omitempty"`
 	// Limits are request limits of backend servers.
 	Limits []pushback.Entry `json:"limits,omitempty"`
 	// Origin, Incarnation and Sequence identify a broadcast.
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -85,7 +85,7 @@
 
 func (g *Gossip) probeMessage(now time.Time, to string) *Message {
 	versions := g.opts.State.Versions(now)
-	m := &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Instances: g.opts.Table.Count(now), Digest: g.opts.Table.Digest()}
+	m := &Message{Records: g.opts.Table.Recent(now, to), Versions: &versions, Instances: g.opts.Table.Count(now), Digest: g.opts.Table.Digest(), SuspectDigest: g.opts.SuspectDigest(now)}
 	if g.opts.Limits != nil {
 		m.Limits = g.opts.Limits.Entries(now)
 	}
@@ -107,6 +107,9 @@
 	g.mergeRecords(now, m.Records)
 	g.opts.Table.RecordCount(now, m.Instances)
 	g.mergeLimits(now, m)
+	if len(m.Suspects) > 0 {
+		g.opts.ApplySuspects(now, m.Suspects)
+	}
 	if m.Versions == nil || address == "" {
 		return
 	}
@@ -120,6 +123,22 @@
 	g.fetchNewerConfiguration(ctx, m.Versions, address)
 }
 
+// RefreshSuspects asks one running instance after the other for crash suspects, until one has answered.
+func (g *Gossip) RefreshSuspects(ctx context.Context) bool {
+	running := g.opts.Table.Running()
+	rand.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	for _, r := range running[:min(len(running), maxRefreshCalls)] {
+		if r.ID == g.self {
+			continue
+		}
+		if m, err := g.call(ctx, r.Peer, syncProcedure, probeTimeout, &Message{}); err == nil {
+			g.opts.ApplySuspects(g.opts.Now(), m.Suspects)
+			return true
+		}
+	}
+	return false
+}
+
 // mergeRecords applies records. If others consider this instance down, it broadcasts that
 // it is running.
 func (g *Gossip) mergeRecords(now time.Time, records []membership.Record) {
@@ -140,7 +159,11 @@
 		address = r.Peer
 	}
 	g.applyProbe(context.WithoutCancel(ctx), m, address)
-	return g.probeMessage(g.opts.Now(), m.From)
+	answer := g.probeMessage(g.opts.Now(), m.From)
+	if m.SuspectDigest != answer.SuspectDigest {
+		answer.Suspects = g.opts.RecentSuspects(g.opts.Now())
+	}
+	return answer
 }
 
 func (g *Gossip) handleIndirectProbe(ctx context.Context, m *Message) *Message {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -105,6 +105,7 @@
 		if !now.Before(r.startDeadline) {
 			return s.giveUp(c, r, t, timeoutFailure(t))
 		}
+		s.awaitNews(ctx, r)
 		if f := s.refuseSuspect(s.opts.Now(), r); f != nil {
 			return s.giveUp(c, r, t, f)
 		}
@@ -116,6 +117,7 @@
 			s.endTrials(r, crashsuspect.TrialNotRun)
 			return s.giveUp(c, r, t, refusal)
 		}
+		s.awaitNews(ctx, r)
 		if !s.partsAllowed(r, false) {
 			s.opts.Balancer.Release(place)
 			s.endTrials(r, crashsuspect.TrialNotRun)
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -288,6 +288,38 @@
 	require.Never(t, func() bool { return a.checkParts(time.Now(), []uint64{part}).verdict == crashsuspect.Clear }, 2*maxVouchDelay, 10*time.Millisecond)
 }
 
+// Guards against instances that send what they held as they go on after a pause, before they have asked for
+// what others have learned meanwhile.
+func TestRequestsWaitForNewsAfterPause(t *testing.T) {
+	at := time.Now()
+	for name, tt := range map[string]struct {
+		ticks    []time.Duration
+		informed bool
+		now      time.Duration
+		behind   bool
+	}{
+		"runs":                          {[]time.Duration{0, pauseTickInterval}, false, 2 * pauseTickInterval, false},
+		"paused, not noticed yet":       {[]time.Duration{0}, false, 2 * maxPauseGap, true},
+		"paused":                        {[]time.Duration{0, 2 * maxPauseGap}, false, 2*maxPauseGap + newsPollInterval, true},
+		"paused, informed":              {[]time.Duration{0, 2 * maxPauseGap}, true, 2*maxPauseGap + newsPollInterval, false},
+		"paused, nobody answers":        {[]time.Duration{0, 2 * maxPauseGap}, false, 2*maxPauseGap + maxNewsWait, false},
+		"the clock has gone back":       {[]time.Duration{2 * maxPauseGap, 0}, false, newsPollInterval, false},
+		"a moment after a short pause":  {[]time.Duration{0, maxPauseGap}, false, maxPauseGap, false},
+		"not started to watch for that": {nil, false, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &resumeGuard{}
+			for _, d := range tt.ticks {
+				g.tick(at.Add(d))
+			}
+			if tt.informed {
+				g.informed()
+			}
+			require.Equal(t, tt.behind, g.behind(at.Add(tt.now)))
+		})
+	}
+}
+
 // Guards against a crash that counts once for each request that runs on the server, and against checks that
 // dial once for each.
 func TestOneCheckForAllRequestsOfAServer(t *testing.T) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -119,6 +119,9 @@
 	Suspects *Suspects
 	// Trials lets instances try a suspected part of prompts one at a time; nil if there are no others.
 	Trials *trialpeer.Peer
+	// Refresh asks for the crash suspects that this instance may lack, after its start or a pause, and reports
+	// whether it has them; nil if there is nobody to ask.
+	Refresh func(ctx context.Context) bool
 	// Limits holds the limits that backend servers have named.
 	Limits *pushback.Limits
 	// Pauses holds until when backend servers want no request from this instance.
@@ -151,6 +154,7 @@
 	streams        *activeStreams
 	workers        *ants.Pool
 	crashes        *crashChecks
+	resumed        resumeGuard
 	// streamBegan wakes migrateGenerations for a stream that has begun on a leaving engine.
 	streamBegan chan struct{}
 	log         zerolog.Logger
@@ -258,6 +262,7 @@
 	}
 	go func() { serving.Wait(); close(s.serveDone) }()
 	go s.migrateGenerations(ctx)
+	go s.watchPauses(ctx)
 	for range s.hertz {
 		if err := <-failed; err != nil && ctx.Err() == nil && !s.draining.Load() {
 			return merry.Prepend(err, "serve callers")
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -22,8 +22,10 @@
 	// suspectRetryAfter is the Retry-After of such a request; other requests of its caller are
 	// served.
 	suspectRetryAfter = 30 * time.Second
-	// maxSuspectsSent limits the entries that a starting instance receives.
-	maxSuspectsSent = 64
+	// maxSuspectsSent limits the entries that a starting instance receives, maxRecentSuspects those that are
+	// sent with a probe.
+	maxSuspectsSent   = 64
+	maxRecentSuspects = 8
 )
 
 // Suspects holds the requests that were running when servers crashed, as far as this instance
@@ -37,7 +39,7 @@
 
 	mu    sync.Mutex
 	table *crashsuspect.Table
-	// answered holds the parts that vouch for themselves.
+	// answered holds the parts that were written on here.
 	answered *partSet
 	// lastAnswer is when a request of each service last began to be answered here.
 	lastAnswer map[string]time.Time
@@ -75,11 +77,27 @@
 	return s.table.Kept(now, n)
 }
 
+// Digest returns a digest of what every instance should know.
+func (s *Suspects) Digest(now time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Digest(now)
+}
+
 // Newest returns the entries that are sent to a starting instance.
 func (s *Suspects) Newest(now time.Time) []crashsuspect.Entry {
+	return s.newest(now, maxSuspectsSent)
+}
+
+// Recent returns the entries that are sent to an instance that knows others: fewer, as it asks again.
+func (s *Suspects) Recent(now time.Time) []crashsuspect.Entry {
+	return s.newest(now, maxRecentSuspects)
+}
+
+func (s *Suspects) newest(now time.Time, n int) []crashsuspect.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append(s.table.RefusedParts(now, maxSuspectsSent), s.table.Newest(now, maxSuspectsSent)...)
+	return append(s.table.RefusedParts(now, n), s.table.Newest(now, n)...)
 }
 
 func (s *Suspects) check(now time.Time, fingerprint uint64) crashsuspect.Verdict {
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -115,7 +115,8 @@
 		return err
 	}
 	in.gossip, err = gossip.New(gossip.Options{
-		ApplySuspects: in.suspects.MergeReceived, Suspects: in.suspects.Newest, Limits: in.limits,
+		ApplySuspects: in.suspects.MergeReceived, Suspects: in.suspects.Newest,
+		SuspectDigest: in.suspects.Digest, RecentSuspects: in.suspects.Recent, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
 		Seeds: in.seeds(), ServeBytesPerSecond: int(cfg.LinkMegabits * bytesPerMegabit * servedLinkShare),
 		Status: in.status, Handlers: in.handlers(),
@@ -163,6 +164,17 @@
 	return slices.ContainsFunc(in.table.Holders(fingerprint, suspectWriters), func(r membership.Record) bool { return r.ID == in.cfg.Instance })
 }
 
+// refreshSuspects asks for the crash suspects that this instance may lack: the platform after its start, and
+// another instance.
+func (in *instance) refreshSuspects(ctx context.Context) bool {
+	select {
+	case <-in.suspectObjects.Read():
+	case <-ctx.Done():
+		return false
+	}
+	return in.gossip.RefreshSuspects(ctx) || in.now().Sub(in.startedAt) < joinWait
+}
+
 // linksLost reports whether this instance's own links to all backend servers are lost.
 func (in *instance) linksLost() bool { return in.links.Status().Lost }
 
@@ -281,7 +293,7 @@
 		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone, Dial: in.dialer.Dial, LinksLost: in.linksLost,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   retry.NewSharedBudgets(rand.New(rand.NewPCG(rand.Uint64(), 2)), in.retryLimits),
-		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Trials: in.trials, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
+		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Trials: in.trials, Refresh: in.refreshSuspects, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
 		MemoryBytes: int64(cfg.MemoryMegabytes) << 20, DetectSilence: cfg.DetectSilence,
 		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: in.now,
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -123,22 +123,22 @@
 	rollouts *rolloutpeer.Peer
 	outliers *outlierpeer.Peer
 	// lengths is nil unless output lengths are learned.
-	lengths    *lengthpeer.Peer
-	origins    *originpeer.Peer
-	suspects   *ingress.Suspects
+	lengths  *lengthpeer.Peer
+	origins  *originpeer.Peer
+	suspects *ingress.Suspects
 	// suspectObjects keeps the suspects in the platform.
 	suspectObjects *suspectobjects.Keeper
-	trials     *trialpeer.Peer
-	limits     *pushback.Limits
-	pauses     *pushback.Pauses
-	brittle    *pushback.Brittle
-	links      *serverlink.Links
-	dialer     *serverdial.Dialer
-	dialPeer   *dialpeer.Peer
-	startedAt  time.Time
-	follower   *platformstate.Follower
-	server     *ingress.Server
-	background sync.WaitGroup
+	trials         *trialpeer.Peer
+	limits         *pushback.Limits
+	pauses         *pushback.Pauses
+	brittle        *pushback.Brittle
+	links          *serverlink.Links
+	dialer         *serverdial.Dialer
+	dialPeer       *dialpeer.Peer
+	startedAt      time.Time
+	follower       *platformstate.Follower
+	server         *ingress.Server
+	background     sync.WaitGroup
 }
 
 // Run runs an instance until ctx ends and its requests have completed.
