Bound what is held of answers without end

On eight such answers at once took an instance from 33 MB to between 431 MB and 1.7 GB, whose machine has 112 to 284 MB; callers got 502 after 2.4 s, or 13 to 78 MB of a failure's body.

Cause: the codec peeks at a head until it is complete, however long it is, and so it does with trailers. Bodies of failures and of calls of our own were held as far as there was memory, answers of the platform up to 64 MB, and net/http's heads up to 10 MB.

A connection lets the codec peek at 64 kB, and at a body that isn't streamed up to the limit of its client. 1 MB of a body is held whole; the rest of a good answer is relayed as it comes, and a longer failure, or a longer answer to a call of our own, is a lost answer, which counts against its server. Heads of the platform and of other instances have 64 kB at most, answers of the platform 4 MB for instances on the users' platform and 16 MB otherwise, and those of other instances end the connection at 8 MB. Events were bounded before (1 MB).

--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -227,7 +227,7 @@
 		if err := conn.Flush(); err != nil {
 			return err
 		}
-		return respcodec.ReadHeaders(resp, conn)
+		return respcodec.ReadHeaders(resp, httpclient.LimitHead(conn))
 	}
 	if err := exchange(); err != nil {
 		return merry.Wrap(ErrPeer, merry.WithCause(err))
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -304,7 +304,7 @@
 	for path, handler := range g.opts.Handlers {
 		mux.Handle(path, handler)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: conn}, nil
+	return &pooledConn{limitedConn: &limitedConn{conn, maxHeadBytes}}, nil
 }
 
 func (c *Client) exchange(r *Response, req *protocol.Request, call Call) error {
@@ -173,6 +173,7 @@
 	if err := r.conn.Flush(); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
+	r.conn.maxHeld = maxHeadBytes
 	if err := respcodec.ReadHeaders(r.Response, r.conn); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
@@ -191,6 +192,8 @@
 		r.releaseConn(true)
 		return err
 	}
+	// The codec may peek at all of a body that isn't streamed.
+	r.conn.maxHeld = max(maxHeadBytes, c.opts.MaxResponseBytes)
 	if err := respcodec.ReadRespBody(r.Response, r.conn, c.opts.MaxResponseBytes); err != nil {
 		return classifyReadError(err)
 	}
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -3,13 +3,11 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/cloudwego/hertz/pkg/network"
 )
 
 // pooledConn is a connection with the time at which it became idle.
 type pooledConn struct {
-	network.Conn
+	*limitedConn
 	idleSince time.Time
 }
 
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -47,7 +47,7 @@
 	cfg, d := in.cfg, in.opts.Dialect
 	in.state = platformstate.NewState()
 	objects := objectapi.NewClient("http://"+cfg.PlatformAddress, objectapi.Options{
-		Codec: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst, OnCall: in.recordCall,
+		Codec: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst, MaxAnswerBytes: maxAnswerBytes, OnCall: in.recordCall,
 	})
 	in.table = membership.NewTable(membership.Record{
 		ID: cfg.Instance, Peer: cfg.PeerAddress, Caller: cfg.CallerAddress, Zone: cfg.Zone, StartedAt: in.now().UnixMilli(),
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -62,6 +62,8 @@
 	// list, several times over after an outage.
 	readsPerSecond = 40
 	readBurst      = 80
+	// maxAnswerBytes limits an answer of the platform: a page and a value have 1 MB each at most.
+	maxAnswerBytes = 4 << 20
 	// exitMargin is the part of the grace period that is reserved for the process to exit.
 	exitMargin = 400 * time.Millisecond
 	// minLeaveTime is how long an instance keeps serving after it has announced that it leaves:
--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -26,6 +26,8 @@
 	timeout = 8 * time.Second
 	// maxListBytes limits the list; 350 instances take about 50 KB.
 	maxListBytes = 4 << 20
+	// maxHeadBytes limits the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrUnavailable means that the list could not be read.
@@ -60,7 +62,7 @@
 func NewClient(baseURL string, meter *controlcost.Meter) *Client {
 	return &Client{
 		base:      baseURL,
-		transport: &http.Transport{DialContext: controlcost.Dial, IdleConnTimeout: 30 * time.Second},
+		transport: &http.Transport{DialContext: controlcost.Dial, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
 		meter:     meter,
 	}
 }
--- a/internal/instancerpc/instancerpc.go
+++ b/internal/instancerpc/instancerpc.go
@@ -10,11 +10,13 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/ansel1/merry/v2"
 
 	"pollenspindle.example/pollenspindle/internal/peer"
 )
@@ -23,6 +25,8 @@
 	authHeader = "Peer-Auth"
 	// MaxBytes limits a message; the largest is a configuration of the maximum size.
 	MaxBytes = 8 << 20
+	// MaxHeadBytes limits the head of a message.
+	MaxHeadBytes = 64 << 10
 	// idleTimeout is how long an unused connection is kept open.
 	idleTimeout = 8 * time.Second
 	// compressMinBytes is the size from which messages are compressed: a compressor takes longer to
@@ -40,9 +44,38 @@
 // NewClient returns a client whose calls wait up to timeout for a connection.
 func NewClient(key peer.Key, self string, timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: timeout}
-	return &Client{Key: key, Self: self, HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	return &Client{Key: key, Self: self, HTTP: &http.Client{Transport: limitedTransport{&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes,
+	}}}}
+}
+
+// ErrTooLarge means that a message exceeds [MaxBytes].
+var ErrTooLarge = merry.Sentinel("message of another instance too large")
+
+// limitedTransport ends the connection of an answer that exceeds [MaxBytes], instead of reading it to its end.
+type limitedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
+	if err == nil && res.StatusCode != http.StatusSwitchingProtocols {
+		res.Body = &limitedBody{res.Body, MaxBytes}
+	}
+	return res, err
+}
+
+type limitedBody struct {
+	io.ReadCloser
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining -= int64(n); b.remaining < 0 {
+		return 0, merry.Wrap(ErrTooLarge)
+	}
+	return n, err
 }
 
 // CloseIdleConnections closes idle connections, which may be broken without notice.
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -43,8 +43,10 @@
 	// for reads.
 	defaultReadsPerSecond = 10
 	defaultReadBurst      = 40
-	// maxAnswerBytes limits a response; the largest is a page of large values.
-	maxAnswerBytes = 64 << 20
+	// defaultMaxAnswerBytes limits the body of a response; the largest is a page of large values. maxHeadBytes
+	// limits its head.
+	defaultMaxAnswerBytes = 16 << 20
+	maxHeadBytes          = 64 << 10
 	// pageLimit is the number of objects requested per page.
 	pageLimit = 500
 	// maxRetryAfter limits the Retry-After that the client follows for reads. With a longer wait,
@@ -101,6 +103,8 @@
 	// for at most Timeout.
 	ReadsPerSecond float64
 	ReadBurst      int
+	// MaxAnswerBytes limits the body of a response.
+	MaxAnswerBytes int64
 	// OnCall is called after each call that was sent; it must not block.
 	OnCall func(Call)
 	// Codec encodes calls and decodes their responses; nil means the format of this project's own
@@ -141,6 +145,9 @@
 	if opts.ReadsPerSecond == 0 {
 		opts.ReadsPerSecond = defaultReadsPerSecond
 	}
+	if opts.MaxAnswerBytes == 0 {
+		opts.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
 	if opts.Codec == nil {
 		opts.Codec = defaultCodec{}
 	}
@@ -150,7 +157,7 @@
 	return &Client{
 		base:      baseURL,
 		opts:      opts,
-		transport: &http.Transport{DialContext: controlcost.Dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second},
+		transport: &http.Transport{DialContext: controlcost.Dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
 		reads:     rate.NewLimiter(rate.Limit(opts.ReadsPerSecond), opts.ReadBurst),
 	}
 }
@@ -336,7 +343,10 @@
 		return c.noResponse(connected.Load(), err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxAnswerBytes+1))
+	if err == nil && int64(len(body)) > c.opts.MaxAnswerBytes {
+		err = errTooLarge
+	}
 	if err != nil {
 		return c.noResponse(true, err)
 	}
--- a/internal/objectapi/errors.go
+++ b/internal/objectapi/errors.go
@@ -28,6 +28,9 @@
 	ErrRefused = merry.Sentinel("platform refused the call")
 )
 
+// errTooLarge means that a response exceeds the limit.
+var errTooLarge = merry.Sentinel("response too large")
+
 // ConflictError means that the condition of a write was not met. The write had no effect.
 type ConflictError struct {
 	// Current is the existing object; its Version is 0 if there is none.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,8 @@
 	// maxMessageBytes limits one message. The largest is the complete configuration in the first
 	// FetchConfig: 2,000 servers of some 300 bytes each and 290 workspaces.
 	maxMessageBytes = 4 << 20
+	// maxHeadBytes limits the head of a message.
+	maxHeadBytes = 64 << 10
 	// compressMinBytes is the size from which answers are compressed: those with the configuration
 	// or the roster. Compressing heartbeat answers, which have some 100 bytes, takes more CPU time
 	// than answering the heartbeats and about a megabyte of memory for the compressor, and saves
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -34,9 +34,10 @@
 		clients: map[string]*Client{},
 		options: connect.WithClientOptions(append([]connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)}, extra...)...),
 		transport: &http.Transport{
-			Protocols:       protocols(),
-			HTTP2:           clientHTTP2Config(),
-			IdleConnTimeout: clientIdleTimeout,
+			Protocols:              protocols(),
+			HTTP2:                  clientHTTP2Config(),
+			IdleConnTimeout:        clientIdleTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,6 +46,7 @@
 			HTTP2:             serverHTTP2Config(),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       serverIdleTimeout,
+			MaxHeaderBytes:    maxHeadBytes,
 		},
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -140,7 +140,12 @@
 		response.Body = append([]byte(nil), resp.Bytes()...)
 		return response, nil
 	}
-	if err := response.readBody(); err != nil {
+	err = response.readBody()
+	if err == nil && len(response.Body) >= maxHeldBytes && response.Partial && response.Status >= http.StatusInternalServerError {
+		// A failure is held until no other server can answer.
+		err = httpclient.ErrTooLarge
+	}
+	if err != nil {
 		response.Close()
 		return nil, merry.Wrap(httpclient.ErrUnknownOutcome, merry.WithCause(err))
 	}
@@ -150,10 +155,17 @@
 // ShortBody is the size in bytes up to which a body of known length is read without a reservation.
 const ShortBody = 4 << 10
 
+// maxHeldBytes limits the body that is held whole; the rest of a longer one is left to be read.
+const maxHeldBytes = 1 << 20
+
 // readBody reads the body as far as there is memory for it.
 func (r *Response) readBody() error {
 	for {
 		if len(r.Body) == cap(r.Body) {
+			if len(r.Body) >= maxHeldBytes {
+				r.Partial = true
+				return nil
+			}
 			more := max(ShortBody, len(r.Body))
 			if !r.memory.Reserve(more) {
 				r.Partial = true
@@ -185,6 +197,9 @@
 		return 0, nil, err
 	}
 	defer response.Close()
+	if response.Partial {
+		return response.Status, nil, merry.Wrap(httpclient.ErrTooLarge)
+	}
 	if response.Status >= http.StatusMultipleChoices {
 		return response.Status, response.Body, merry.Wrap(ErrStatus, merry.AppendMessagef("status %d", response.Status))
 	}
