Read chunked bodies of servers as they come

Streamed bodies in chunks are read with the standard library's reader, which holds 4 kB and bounds extensions; trailers are skipped, 64 kB of them at most.

--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -23,6 +23,8 @@
 	abort     context.CancelFunc
 	stream    bool
 	singleUse bool
+	// chunked is the streamed body if it is chunked.
+	chunked *chunkedBody
 }
 
 // forceCloser is implemented by the codec's body streams, to close them unread.
@@ -36,6 +38,9 @@
 	if r.IsCloseDelimited() {
 		return closeDelimitedBody{r.conn}
 	}
+	if r.chunked != nil {
+		return r.chunked
+	}
 	return r.BodyStream()
 }
 
@@ -98,7 +103,7 @@
 		// The codec would read a streamed body to its end to reuse the connection; the end of a
 		// generation can be minutes away.
 		r.conn.Close()
-		if r.IsCloseDelimited() {
+		if r.IsCloseDelimited() || r.chunked != nil {
 			r.stream = false
 			r.release()
 			return
@@ -123,11 +128,11 @@
 		return
 	}
 	var rest [1]byte
-	if _, err := r.BodyStream().Read(rest[:]); !errors.Is(err, io.EOF) {
+	if _, err := r.Body().Read(rest[:]); !errors.Is(err, io.EOF) {
 		return
 	}
 	r.stream = false
-	closing := r.ConnectionClose()
+	closing := r.ConnectionClose() || r.chunked != nil && r.chunked.conn.Buffered() > 0
 	if err := r.CloseBodyStream(); err != nil {
 		closing = true
 	}
@@ -140,6 +145,10 @@
 		r.stream = true
 		return nil
 	}
+	if r.Header.ContentLength() == codecChunked && !r.SkipBody && !hasNoBody(r.StatusCode()) {
+		r.chunked, r.stream = newChunkedBody(r.conn), true
+		return nil
+	}
 	err := respcodec.ReadRespBodyStream(r.Response, r.conn, 0, func(bool) error { return nil })
 	if err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
--- a/internal/trialpeer/peer.go
+++ b/internal/trialpeer/peer.go
@@ -39,12 +39,14 @@
 	keeperCount = 2
 	// maxCalls limits the concurrent calls that renew and end trials. A trial that isn't ended ends by itself.
 	maxCalls = 32
-	// renewInterval is the time between two renewals of a trial in progress, SettleTime how long an instance
-	// that starts should grant no trial: longer than it takes until the trials in progress are renewed.
+	// renewInterval is the time between two renewals of a trial in progress.
 	renewInterval = time.Second
-	SettleTime    = 1500 * time.Millisecond
 )
 
+// SettleTime is how long an instance that starts should grant no trial: longer than it takes until the trials in
+// progress are renewed.
+const SettleTime = 1500 * time.Millisecond
+
 // Options configures a [Peer].
 type Options struct {
 	Self  string
--- a/test/endless/endless.go
+++ b/test/endless/endless.go
@@ -56,9 +56,11 @@
 	_ = conn.SetWriteDeadline(time.Now().Add(Timeout))
 	_ = conn.(*net.TCPConn).SetWriteBuffer(2 * blockBytes)
 	sent := int64(0)
-	n, err := io.WriteString(conn, strings.ReplaceAll(s.Begin, "$ID", r.Header.Get(s.IDField)))
+	_, err = io.WriteString(conn, strings.ReplaceAll(s.Begin, "$ID", r.Header.Get(s.IDField)))
 	block := bytes.Repeat([]byte(s.Repeat), max(1, blockBytes/len(s.Repeat)))
-	for n = 0; err == nil; n, err = conn.Write(block) {
+	for err == nil {
+		var n int
+		n, err = conn.Write(block)
 		sent += int64(n)
 	}
 	for {
