Check a server anew that loses a connection after it was found running

Found by reading: for the four seconds in which a server that accepts connections may be listed as a new incarnation, other requests that lost their connection to it joined that check, and no further dial was made. A server that breaks off an answer and crashes a second later was missed, unless its entry said so.

TestCrashAfterBrokenAnswer failed before.

--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -24,6 +25,8 @@
 	// for the check of one server.
 	maxCrashChecks  = 64
 	maxLostRequests = 128
+	// maxAwaitingRestart limits the servers that accept connections and may have restarted.
+	maxAwaitingRestart = 256
 )
 
 // restartChecks are the times after a loss at which the platform may have listed a new incarnation.
@@ -53,6 +56,9 @@
 	s       *Server
 	workers *ants.Pool
 
+	// awaiting is the number of servers that may be listed as a new incarnation.
+	awaiting atomic.Int64
+
 	mu     sync.Mutex
 	checks map[string]*crashCheck
 }
@@ -114,6 +120,8 @@
 	default:
 		_ = conn.Close()
 		if attempt > 0 {
+			// Requests that are lost from now on need a check of their own.
+			c.forget(check)
 			c.awaitRestart(check, 0)
 			return
 		}
@@ -128,8 +136,13 @@
 
 // awaitRestart checks at some times whether the server is listed as a new incarnation.
 func (c *crashChecks) awaitRestart(check *crashCheck, n int) {
-	if n == len(restartChecks) {
-		c.forget(check)
+	switch {
+	case n == len(restartChecks):
+		c.awaiting.Add(-1)
+		return
+	case n == 0 && c.awaiting.Add(1) > maxAwaitingRestart:
+		c.awaiting.Add(-1)
+		c.drop(check.server, "too many servers may have restarted")
 		return
 	}
 	delay := restartChecks[n]
@@ -140,8 +153,9 @@
 		known, ok := c.s.opts.State.Server(check.server.ID)
 		switch {
 		case ok && known.Leaving:
-			c.forget(check)
+			c.awaiting.Add(-1)
 		case ok && known.StartedAtMillis > check.server.StartedAtMillis:
+			c.awaiting.Add(-1)
 			c.recordCrashed(check, "listed as a new incarnation")
 		default:
 			c.awaitRestart(check, n+1)
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -92,6 +92,8 @@
 	crashed  atomic.Bool
 	// beforeCrash is called before the engine crashes.
 	beforeCrash func()
+	// aborts is the number of answers that are broken off before, by an engine that goes on.
+	aborts atomic.Int64
 	// keepsListener leaves the listener open, as if another process had taken the address.
 	keepsListener bool
 }
@@ -103,6 +105,8 @@
 	switch {
 	case e.failures.Add(-1) >= 0:
 		w.WriteHeader(http.StatusInternalServerError)
+	case e.aborts.Add(-1) >= 0:
+		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(r.Header.Get(prefixField), "bad,"):
 		e.beforeCrash()
 		e.crashed.Store(true)
@@ -209,6 +213,17 @@
 	return resp.StatusCode
 }
 
+// Guards against the crash of a server that has broken off an answer a moment before, and was found running.
+func TestCrashAfterBrokenAnswer(t *testing.T) {
+	f, engines := startCrashingEngines(t, 1, 0, func(e *crashingEngine) { e.aborts.Store(1) })
+	f.sendUntil(t.Context(), "/plan/1", "sound,own")
+	require.Eventually(t, func() bool { return f.crashes.awaiting.Load() == 1 }, testTimeout, 5*time.Millisecond)
+	f.sendUntil(t.Context(), "/plan/1", "bad,own")
+	require.Eventually(t, func() bool { return f.uncleared("bad") == 1 }, time.Second/2, 5*time.Millisecond)
+	require.True(t, engines[0].crashed.Load())
+	require.Zero(t, f.uncleared("sound"))
+}
+
 // Guards against a request that goes on from the server that it has crashed as the last one allowed to the next.
 func TestCrashingReadIsRefusedBetweenAttempts(t *testing.T) {
 	f, servers := startCrashingServers(t, 8, false)
