Skip a bounded number of interim answers

Of two interim answers the second was taken for the answer, with status 100 and without a body, and any other interim answer at once: a call of our own took it for a success, and a request's good answer behind it was lost.

TestInterimAnswersAreSkipped failed before.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -174,7 +174,7 @@
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
 	r.conn.maxHeld = maxHeadBytes
-	if err := respcodec.ReadHeaders(r.Response, r.conn); err != nil {
+	if err := r.readHead(); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
 	if call.Stream {
--- a/internal/httpclient/close_delimited_test.go
+++ b/internal/httpclient/close_delimited_test.go
@@ -88,3 +88,22 @@
 		}
 	}
 }
+
+// Guards against an interim answer that is taken for the answer, and against bytes of it that are.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Link", "</a>")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Del("Link")
+		_, _ = io.WriteString(w, "body")
+	})
+	c := New(Options{})
+	defer c.Close()
+	resp, err := get(t.Context(), c, s.address(), Call{})
+	require.NoError(t, err)
+	defer resp.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode())
+	require.Equal(t, "body", string(resp.Bytes()))
+	require.Empty(t, resp.Header.Get("Link"))
+}
