--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -129,6 +129,21 @@
 	d.put(e)
 }
 
+// unlist stops renewing the entry of a server, which expires after three heartbeats.
+func (d *deployment) unlist(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	delete(d.entries, id)
+	time.AfterFunc(3*beatInterval, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.entries[id] == nil && e != nil {
+			d.store.Remove(wire.Kinds.Servers, id)
+		}
+	})
+}
+
 // setState changes the state of a listed server.
 func (d *deployment) setState(id, state string) {
 	d.mu.Lock()
