--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	cases := map[string]func(trouble bool, record func(format string, args ...any)) (bool, error){
 		"budget": budgetCase,
 		"resume": resumeCase,
+		"poison": poisonCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
