--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -15,14 +15,13 @@
 const (
 	poisonLength = 26 * time.Second
 	// The request that crashes engines comes poisonCopies times, one each poisonPause.
-	poisonCopies, poisonPause = 3, 500 * time.Millisecond
+	poisonCopies, poisonPause = 5, 600 * time.Millisecond
 	poisonBody                = `{"draft":"1"}`
 	plainStreams              = 8
 	contactTime               = 3 * time.Second
-	// maxLateSends is the number of times that such a request may be sent later than contactTime after the
-	// third crash.
-	maxLateSends = 3
-	poisonLimit  = 3
+	// poisonLimit is the number of crashes after which such a request may reach servers maxLateSends times
+	// more, later than contactTime.
+	poisonLimit, maxLateSends = 3, 3
 )
 
 // poisonCase sends a request that crashes engines in the middle of their answers, beside others.
@@ -95,7 +94,7 @@
 		return false, nil
 	}
 	known := crashes[poisonLimit-1].Add(contactTime)
-	late := 0
+	late, attempts := 0, map[string]bool{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, g := range l.runs {
@@ -105,8 +104,9 @@
 		record("request %s reached %s at %.3f, after event %d", g.id, g.engine, since(g.begin), g.after)
 		if g.begin.After(known) {
 			late++
+			attempts[g.id] = true
 		}
 	}
-	record("sent later than %s after the third crash: %d times", contactTime, late)
-	return late > maxLateSends, nil
+	record("reached engines later than %s after the third crash: %d times, in %d attempts of callers", contactTime, late, len(attempts))
+	return late > maxLateSends && len(attempts) > maxLateSends, nil
 }
