Let the first event of an answer show only that a run began

Cause: the first event of an answer cleared all parts of its request on all instances, ended its trial as answered, and let the crash that followed count for no part. An answer from before a part turned bad cleared it, too.

Why this works: what a run shows is decided in one place, crashsuspect.Progress. A crash keeps how far the run had got; another run clears it only once it has got well past that point or is complete, and only if it was sent after the crash was known. A run under a bad part never gets there. A trial lasts until then. Crashes count for runs that have gone on for less than two seconds. A run that goes on elsewhere needs a trial unless it has itself got past the crashes.

A part that has crashed no server without the one that was tried no longer explains its failed trials: earlier answers no longer leave it out.

Tests: TestOnlyWholeAnswersClearParts replaces TestOnlyContentClearsParts, in which "event, then the end" cleared a part: that was the fault. Three of its cases and two of TestCrashCountsAgainstParts fail on the code before. TestOtherInstanceVouchesForParts asked that an answer from before the crash clears once, TestOldAnswerDoesNotVouch that it doesn't after a second; both now ask that it never does, and that one sent since does.

--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -62,9 +62,14 @@
 	At   time.Time `json:"at"`
 	// Trial says that the part was the only suspected one of its request, and in a trial.
 	Trial bool `json:"trial,omitempty"`
-	// Cleared says that the request has finished, or that the part was written on, since the crash. It
-	// doesn't depend on the clocks of the instances that saw the one and the other.
+	// Cleared says that a run since the crash has shown that the request or part isn't its cause; see
+	// [Progress]. It doesn't depend on the clocks of the instances that saw the one and the other.
 	Cleared bool `json:"cleared,omitempty"`
+	// Events and RunningMillis say how far the run had got; see [Progress].
+	Events        int   `json:"events,omitempty"`
+	RunningMillis int64 `json:"runningMillis,omitempty"`
+	// knownAt is when this instance first knew of the crash.
+	knownAt time.Time
 }
 
 // Entry holds the crashes of one request. Instances send entries to each other.
@@ -163,7 +168,7 @@
 // merge merges another entry of the request: the crashes form a set without those
 // before the latest ClearedAt, so the order of merges makes no difference. At most
 // keep crashes that count remain.
-func (e *Entry) merge(in Entry, keep int) {
+func (e *Entry) merge(now time.Time, in Entry, keep int) {
 	if in.ClearedAt.After(e.ClearedAt) {
 		e.ClearedAt = in.ClearedAt
 	}
@@ -171,7 +176,7 @@
 		e.RefusedAt = in.RefusedAt
 	}
 	for _, c := range in.Crashes {
-		e.add(c)
+		e.add(now, c)
 	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(e.ClearedAt) })
 	// The newest crashes and those in trials are enough to decide.
@@ -189,14 +194,19 @@
 	}
 }
 
-// add inserts a crash in order of time. Two instances see the same crash at slightly
-// different times; the earlier one is kept.
-func (e *Entry) add(c Crash) {
+// add inserts a crash in order of time. Two instances see the same crash at slightly different times, under
+// runs that had got to different points: the earlier time and the further point are kept.
+func (e *Entry) add(now time.Time, c Crash) {
+	c.knownAt = now
 	i := slices.IndexFunc(e.Crashes, func(o Crash) bool { return o.Name == c.Name })
 	if i >= 0 {
-		c.Trial, c.Cleared = c.Trial || e.Crashes[i].Trial, c.Cleared || e.Crashes[i].Cleared
-		if !c.At.Before(e.Crashes[i].At) {
-			e.Crashes[i].Trial, e.Crashes[i].Cleared = c.Trial, c.Cleared
+		known := &e.Crashes[i]
+		point := known.progress().further(c.progress())
+		c.Trial, c.Cleared, c.knownAt = c.Trial || known.Trial, c.Cleared || known.Cleared, known.knownAt
+		c.Events, c.RunningMillis = point.Events, point.Running.Milliseconds()
+		if !c.At.Before(known.At) {
+			c.At = known.At
+			*known = c
 			return
 		}
 		e.Crashes = slices.Delete(e.Crashes, i, i+1)
--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -35,9 +35,9 @@
 // CheckPart returns whether requests with a part may run. A suspected part may run in one trial at a time,
 // over all instances.
 //
-// An engine that crashes as it begins to write an answer leaves all parts of the requests that wait there
-// suspect. The answer to any request clears its parts, so that only a part to which no engine can write
-// stays suspect.
+// An engine that crashes leaves all parts of the requests that wait or have begun there suspect. Runs that get
+// past that point clear their parts, so that only a part under which each engine crashes stays suspect; see
+// [Progress].
 func (t *Table) CheckPart(now time.Time, key uint64) Verdict {
 	e, ok := t.entries[key]
 	if !ok || t.expired(now, e.Entry) {
@@ -56,11 +56,13 @@
 
 // failedTrials returns the number of trials of a part in which a server crashed, without those that the other
 // suspected part explains that explains most of them: requests with that part may have waited at the same
-// servers. Two parts that explain a trial each aren't enough, since some sound part waits at each server.
+// servers. Two parts that explain a trial each aren't enough, since some sound part waits at each server, nor is
+// a part under which no server has crashed without this one.
 func (t *Table) failedTrials(e *record) int {
-	var trials []string
-	for _, c := range e.Crashes {
-		if c.Trial && !c.Cleared {
+	var trials, all []string
+	for _, c := range e.Uncleared() {
+		all = append(all, c.Name)
+		if c.Trial {
 			trials = append(trials, c.Name)
 		}
 	}
@@ -70,7 +72,10 @@
 	explained := 0
 	for at := t.active.Front(); at != nil; at = at.Next() {
 		other := at.Value.(*record)
-		if other.Part && other.Fingerprint != e.Fingerprint && other.uncleared() >= partCrashes {
+		if !other.Part || other.Fingerprint == e.Fingerprint || other.uncleared() < partCrashes {
+			continue
+		}
+		if other.countOf(all) < other.uncleared() {
 			explained = max(explained, other.countOf(trials))
 		}
 	}
--- a/internal/crashsuspect/table.go
+++ b/internal/crashsuspect/table.go
@@ -113,7 +113,7 @@
 	if e.Part {
 		keep = keptPartCrashes
 	}
-	e.merge(in, keep)
+	e.merge(now, in, keep)
 	t.reposition(e)
 }
 
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -118,12 +118,13 @@
 			return s.giveUp(c, r, t, refusal)
 		}
 		s.awaitNews(ctx, r)
-		if !s.partsAllowed(r, false) {
+		if !s.partsAllowed(r, crashsuspect.Progress{}) {
 			s.opts.Balancer.Release(place)
 			s.endTrials(r, crashsuspect.TrialNotRun)
 			continue
 		}
 		t.sentAt = s.opts.Now()
+		s.beginRun(r)
 		res := s.attempt(ctx, c, r, place, t)
 		again, err := s.handleResult(ctx, c, r, place, t, res)
 		s.endTrialsWith(r, res)
@@ -248,14 +249,14 @@
 		return false, res.err
 	case responded:
 		if res.response.Status < http.StatusMultipleChoices && len(res.response.Body) > 0 {
-			s.recordWritten(r, "response "+strconv.Itoa(res.response.Status))
+			s.recordRunEvent(r)
 		}
 		t.sends++
 		t.possibleRuns++
 		s.recordOutcome(place.Server, r, rollout.MetricAnswer, res.response.Status >= http.StatusInternalServerError, now.Sub(t.sentAt))
 		if res.response.Status < http.StatusInternalServerError {
 			s.opts.Retries.RecordSuccess(now, r.service.Name)
-			s.clearSuspect(now, r)
+			s.recordAnswered(r)
 			return false, s.writeResponse(c, r, res.response)
 		}
 		t.keepResponse(res.response)
--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -8,6 +8,7 @@
 
 	"github.com/panjf2000/ants/v2"
 
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 )
 
@@ -32,13 +33,13 @@
 // restartChecks are the times after a loss at which the platform may have listed a new incarnation.
 var restartChecks = []time.Duration{time.Second, 2 * time.Second, 4 * time.Second}
 
-// lostRequest is a request whose connection to a server was lost. begun says whether the server had begun
-// to write an answer; trial is the part that was tried, 0 for none.
+// lostRequest is a request whose connection to a server was lost. progress is how far its run there had got;
+// trial is the part that was tried, 0 for none.
 type lostRequest struct {
 	*request
-	at    time.Time
-	begun bool
-	trial uint64
+	at       time.Time
+	progress crashsuspect.Progress
+	trial    uint64
 }
 
 // crashCheck is the check of one incarnation of a server. first is closed when it has been checked once.
@@ -169,7 +170,7 @@
 	defer c.mu.Unlock()
 	check.crashed = true
 	for _, lost := range check.lost {
-		c.s.log.Info().Str("request", lost.id).Str("server", check.server.ID).Bool("begun", lost.begun).Int("parts", len(lost.parts)).
+		c.s.log.Info().Str("request", lost.id).Str("server", check.server.ID).Int("events", lost.progress.Events).Dur("running", lost.progress.Running).Int("parts", len(lost.parts)).
 			Str("evidence", evidence).Msg("server crashed while running a request")
 		c.record(check.server, lost)
 	}
@@ -177,11 +178,10 @@
 	time.AfterFunc(crashMemory, func() { c.forget(check) })
 }
 
+// record records the crash of a server for a request; c.mu must be held.
 func (c *crashChecks) record(server platformstate.Server, lost *lostRequest) {
 	c.s.opts.Suspects.recordCrash(lost.at, server, lost.fingerprint)
-	if !lost.begun {
-		c.s.opts.Suspects.recordPartsCrash(lost.at, server, lost.parts, lost.trial)
-	}
+	c.s.opts.Suspects.recordPartsCrash(lost.at, server, lost.parts, lost.trial, lost.progress)
 }
 
 func (c *crashChecks) forget(check *crashCheck) {
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -37,27 +38,30 @@
 // recordCrashes records crashes on a part of prompts, after which it is suspected.
 func (f *fixture) recordCrashes(part string) {
 	for n := range 2 {
-		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(n), []uint64{crashsuspect.PartKey("llm", part)}, 0)
+		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(n), []uint64{crashsuspect.PartKey("llm", part)}, 0, crashsuspect.Progress{})
 	}
 	require.Equal(f.t, crashsuspect.Suspected, f.verdict(part))
 }
 
-// Each case guards against an answer that clears a part of prompts without showing that a server can write
-// on it, or against one that shows it and doesn't.
-func TestOnlyContentClearsParts(t *testing.T) {
+// Each case guards against an answer that clears a part of prompts without showing that a server can run it, or
+// against one that shows it and doesn't.
+func TestOnlyWholeAnswersClearParts(t *testing.T) {
 	for name, tt := range map[string]struct {
 		path    string
 		handle  func(w http.ResponseWriter, r *http.Request)
 		cleared bool
 	}{
-		"event":                       {"/plan/1", sendEvents(1, 3, true), true},
-		"event of a resumable stream": {"/check/1", sendEvents(1, 3, true), true},
-		"event, then the end":         {"/plan/1", sendEvents(1, 1, false), true},
-		"failure":                     {"/plan/1", respondWith(http.StatusInternalServerError), false},
-		"failure, resumable":          {"/check/1", respondWith(http.StatusInternalServerError), false},
-		"timeout":                     {"/plan/1", respondWith(http.StatusGatewayTimeout), false},
-		"denied":                      {"/plan/1", respondWith(http.StatusBadRequest), false},
-		"empty stream":                {"/plan/1", func(http.ResponseWriter, *http.Request) {}, false},
+		"whole":                        {"/plan/1", sendEvents(1, 3, true), true},
+		"whole, resumable":             {"/check/1", sendEvents(1, 3, true), true},
+		"whole, one event":             {"/plan/1", sendEvents(1, 1, true), true},
+		"first event, then the end":    {"/plan/1", sendEvents(1, 1, false), false},
+		"many events, then the end":    {"/plan/1", sendEvents(1, 30, false), false},
+		"the same on resumable routes": {"/check/1", sendEvents(1, 3, false), false},
+		"failure":                      {"/plan/1", respondWith(http.StatusInternalServerError), false},
+		"failure, resumable":           {"/check/1", respondWith(http.StatusInternalServerError), false},
+		"timeout":                      {"/plan/1", respondWith(http.StatusGatewayTimeout), false},
+		"denied":                       {"/plan/1", respondWith(http.StatusBadRequest), false},
+		"empty stream":                 {"/plan/1", func(http.ResponseWriter, *http.Request) {}, false},
 		"head only": {"/plan/1", func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusOK)
 			_ = http.NewResponseController(w).Flush()
@@ -96,6 +100,8 @@
 	aborts atomic.Int64
 	// keepsListener leaves the listener open, as if another process had taken the address.
 	keepsListener bool
+	// events is the number of events that the engine writes before it crashes.
+	events int
 }
 
 func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -108,6 +114,9 @@
 	case e.aborts.Add(-1) >= 0:
 		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(r.Header.Get(prefixField), "bad,"):
+		if e.events > 0 {
+			e.writeEvents(w, r)
+		}
 		e.beforeCrash()
 		e.crashed.Store(true)
 		if !e.keepsListener {
@@ -119,6 +128,12 @@
 	}
 }
 
+// writeEvents writes the events before a crash.
+func (e *crashingEngine) writeEvents(w http.ResponseWriter, r *http.Request) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	sendEvents(last+1, last+e.events, true)(w, r)
+}
+
 // startCrashingEngines returns a fixture with n engines that crash on a part, after some failures of their own.
 func startCrashingEngines(t *testing.T, n, failures int, prepare func(e *crashingEngine)) (*fixture, []*crashingEngine) {
 	f := startFixture(t, nil, withParts)
@@ -162,6 +177,9 @@
 	}{
 		"first attempt":                        {path: "/plan/1", want: 1},
 		"after the failure of another engine":  {path: "/check/1", failures: 1, want: 1},
+		"with the first event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1},
+		"with the first event, resumed":        {path: "/check/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 2},
+		"with the third event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 3 }, want: 1},
 		"the address is taken, entry is new":   {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.keepsListener = true }, restarts: true, want: 1},
 		"the caller leaves as the engine does": {path: "/plan/1", known: true, prepare: func(_ *fixture, e *crashingEngine) { e.beforeCrash = func() { (<-leave)() } }, want: 3},
 		"a busy instance has no worker to spare": {path: "/plan/1", prepare: func(f *fixture, _ *crashingEngine) {
@@ -245,19 +263,21 @@
 func TestPartsAreCheckedAfterWaiting(t *testing.T) {
 	f, engines := startCrashingEngines(t, 3, 0, nil)
 	r := &request{parts: []uint64{crashsuspect.PartKey("llm", "bad")}, service: nil}
-	require.True(t, f.partsAllowed(r, false), "nothing is known")
+	atFirst, past := crashsuspect.Progress{}, crashsuspect.Progress{Events: 10, Running: time.Second}
+	require.True(t, f.partsAllowed(r, atFirst), "nothing is known")
 	f.recordCrashes("bad")
 	f.opts.Trials = &trialpeer.Peer{}
-	require.False(t, f.partsAllowed(r, false), "suspected, not tried")
-	require.True(t, f.partsAllowed(r, true), "a server has written on it")
+	require.False(t, f.partsAllowed(r, atFirst), "suspected, not tried")
+	require.False(t, f.partsAllowed(r, crashsuspect.Progress{Events: 1}), "a run that has only begun")
+	require.True(t, f.partsAllowed(r, past), "a run that got past the crashes")
 	r.trials.Store(&r.parts)
-	require.True(t, f.partsAllowed(r, false), "tried")
+	require.True(t, f.partsAllowed(r, atFirst), "tried")
 	f.opts.Trials = nil
 	for n := range 3 {
-		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(10+n), r.parts, r.parts[0])
+		f.opts.Suspects.recordPartsCrash(f.clock.now(), engineNumber(10+n), r.parts, r.parts[0], crashsuspect.Progress{})
 	}
-	require.False(t, f.partsAllowed(r, false), "refused")
-	require.False(t, f.partsAllowed(r, true), "refused")
+	require.False(t, f.partsAllowed(r, atFirst), "refused")
+	require.False(t, f.partsAllowed(r, past), "refused")
 	require.Equal(t, http.StatusServiceUnavailable, f.sendUntil(t.Context(), "/plan/1", "bad,own"))
 	for _, e := range engines {
 		require.False(t, e.crashed.Load())
@@ -275,15 +295,15 @@
 			a.Broadcast = func(entries []crashsuspect.Entry) { b.Merge(start, entries) }
 			b.Broadcast = func(entries []crashsuspect.Entry) { a.Merge(start, entries) }
 			for n := range 2 {
-				a.recordPartsCrash(start, engineNumber(n), []uint64{part}, 0)
+				a.recordPartsCrash(start, engineNumber(n), []uint64{part}, 0, crashsuspect.Progress{})
 			}
 			answeredAt := start.Add(100 * time.Millisecond)
-			b.recordPartsAnswered(answeredAt.Add(ahead), []uint64{part}, "event")
+			b.recordPartsRun(answeredAt.Add(ahead), start, []uint64{part}, crashsuspect.Progress{Complete: true})
 			for n, s := range []*Suspects{a, b} {
 				require.Equal(t, crashsuspect.Clear, s.checkParts(answeredAt, []uint64{part}).verdict, "instance %d", n)
 			}
 			for n := range 2 {
-				a.recordPartsCrash(answeredAt.Add(time.Second), engineNumber(10+n), []uint64{part}, 0)
+				a.recordPartsCrash(answeredAt.Add(time.Second), engineNumber(10+n), []uint64{part}, 0, crashsuspect.Progress{})
 			}
 			for n, s := range []*Suspects{a, b} {
 				require.Equal(t, crashsuspect.Suspected, s.checkParts(answeredAt.Add(time.Second), []uint64{part}).verdict, "instance %d", n)
@@ -292,15 +312,22 @@
 	}
 }
 
-// Guards against an answer from before a part turned bad that vouches for it long after.
-func TestOldAnswerDoesNotVouch(t *testing.T) {
+// Guards against an answer from before a part turned bad that clears it of the crashes since.
+func TestOldAnswerShowsNothing(t *testing.T) {
 	const part = 1
 	a, b := newSuspectsPair()
-	b.recordPartsAnswered(time.Now().Add(-2*maxVouchAge), []uint64{part}, "event")
+	sentAt := time.Now()
 	for n := range 2 {
-		a.recordPartsCrash(time.Now(), engineNumber(n), []uint64{part}, 0)
+		a.recordPartsCrash(sentAt.Add(-time.Minute), engineNumber(n), []uint64{part}, 0, crashsuspect.Progress{})
+	}
+	for _, s := range []*Suspects{a, b} {
+		s.recordPartsRun(time.Now(), sentAt.Add(-2*time.Minute), []uint64{part}, crashsuspect.Progress{Complete: true})
+		require.Equal(t, crashsuspect.Suspected, s.checkParts(time.Now(), []uint64{part}).verdict)
 	}
-	require.Never(t, func() bool { return a.checkParts(time.Now(), []uint64{part}).verdict == crashsuspect.Clear }, 2*maxVouchDelay, 10*time.Millisecond)
+	b.recordPartsRun(time.Now(), sentAt, []uint64{part}, crashsuspect.Progress{Complete: true})
+	require.Equal(t, crashsuspect.Suspected, a.checkParts(time.Now(), []uint64{part}).verdict, "b heard of it after it had sent the request")
+	b.recordPartsRun(time.Now(), time.Now(), []uint64{part}, crashsuspect.Progress{Complete: true})
+	require.Equal(t, crashsuspect.Clear, a.checkParts(time.Now(), []uint64{part}).verdict)
 }
 
 // Guards against instances that send what they held as they go on after a pause, before they have asked for
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -68,11 +68,11 @@
 	lengthKey   outputlength.Key
 	learned     bool
 	fingerprint uint64
-	// parts holds the keys of the parts of the prompt that other requests may share, trials the suspected
-	// ones that the request tries. begun is set once a server has begun to answer.
+	// parts holds the keys of the parts of the prompt that other requests may share, trials the suspected ones
+	// that the request tries.
 	parts  []uint64
 	trials atomic.Pointer[[]uint64]
-	begun  atomic.Bool
+	run    run
 }
 
 // isGeneration reports whether the request is for model engines.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/eventstream"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/retry"
@@ -77,7 +78,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The limit may expire at the moment in which the first event is relayed.
-	r.begun.Store(false)
 	timer := time.AfterFunc(limit, func() {
 		if cs.stream.expireFirstEvent() {
 			cancel()
@@ -89,6 +89,7 @@
 		return classifyError(err)
 	}
 	for resumes := 0; ; resumes++ {
+		var checked <-chan struct{}
 		if res := s.classifyResponse(r, response); response.Status != http.StatusOK {
 			return res
 		} else if lost, ok := res.(failed); ok {
@@ -102,7 +103,7 @@
 				Func(s.logExpected(r)).Msg("stream ended")
 			cs.observeLength(false)
 			s.opts.Retries.RecordSuccess(s.opts.Now(), r.service.Name)
-			s.clearSuspect(s.opts.Now(), r)
+			s.recordAnswered(r)
 			return streamDone{}
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return cs.abort(failed{cause: retry.CauseLost, mayHaveRun: true, err: err})
@@ -110,7 +111,8 @@
 			s.recordBreak(s.opts.Now(), cs.stream)
 			server := cs.stream.server()
 			s.opts.Balancer.RecordFailure(s.opts.Now(), server.ID)
-			s.reportCrash(server, r)
+			checked = s.reportCrash(server, r)
+			s.endTrials(r, crashsuspect.TrialFailed)
 			if known, ok := s.opts.State.Server(server.ID); ok && !known.Leaving {
 				s.recordOutcome(server, r, rollout.MetricAnswer, true, 0)
 			}
@@ -118,7 +120,7 @@
 		if resumes >= maxResumes {
 			return cs.abort(failed{cause: retry.CauseLost, mayHaveRun: true, err: err})
 		}
-		next, rerr := cs.resume(ctx)
+		next, rerr := cs.resume(ctx, checked)
 		if rerr != nil {
 			return cs.abort(failed{cause: retry.CauseLost, mayHaveRun: true, err: err})
 		}
@@ -168,7 +170,6 @@
 	errCallerGone        = merry.Sentinel("the caller has disconnected")
 	errCutoverRefused    = merry.Sentinel("the engine refused to stop the generation, which has ended")
 	errSourceStillRuns   = merry.Sentinel("the source engine of the copy hasn't stopped the generation")
-	errPartSuspected     = merry.Sentinel("a part of the request may crash backend servers")
 	errNotResumable      = merry.Sentinel("the route isn't resumable, or the retry budget is exhausted")
 )
 
@@ -205,9 +206,7 @@
 		if ev.ID > 0 && ev.ID <= cs.stream.lastEventID() {
 			continue
 		}
-		if !cs.r.begun.Load() {
-			cs.s.recordWritten(cs.r, "event")
-		}
+		cs.s.recordRunEvent(cs.r)
 		if cs.writer == nil {
 			cs.recordOrigin(ctx)
 			cs.writeHead(response)
@@ -256,8 +255,12 @@
 }
 
 // resume continues a stream that broke off: on the engine that it was migrated to, from a copy of
-// its KV cache, or, if the route allows it, by a new request for the events after the last one.
-func (cs *callerStream) resume(ctx context.Context) (*upstream.Response, error) {
+// its KV cache, or, if the route allows it, by a new request for the events after the last one. Before, it
+// waits for the check of a server that it has lost.
+func (cs *callerStream) resume(ctx context.Context, checked <-chan struct{}) (*upstream.Response, error) {
+	if checked != nil {
+		cs.s.awaitCrashCheck(ctx, cs.r, checked)
+	}
 	if place, ok := cs.stream.nextPlace(); ok {
 		response, err := cs.resumeNextRun(ctx, place)
 		if err == nil {
@@ -380,15 +383,16 @@
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
-	if !cs.s.partsAllowed(cs.r, cs.writer != nil) {
-		return nil, errPartSuspected
+	if f := cs.s.admitRest(ctx, cs.r, cs.r.run.progress()); f != nil {
+		return nil, f
 	}
-	cs.r.begun.Store(false)
+	cs.s.beginRun(cs.r)
 	ctx = cs.askRest(ctx)
 	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
 	if err != nil {
 		if classifyError(err).cause == retry.CauseLost && ctx.Err() == nil {
 			cs.s.reportCrash(place.Server, cs.r)
+			cs.s.endTrials(cs.r, crashsuspect.TrialFailed)
 		}
 		return nil, cs.askError(ctx, err)
 	}
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -30,39 +29,11 @@
 	maxUnclearTime  = 6 * time.Second
 	// trialRetryAfter is the Retry-After of a request whose trial couldn't begin, with a random part added.
 	trialRetryAfter, trialRetryJitter = time.Second, time.Second
-	// maxVouchDelay spreads the answers of instances that know a suspected part to be sound: the first one
-	// is enough.
-	maxVouchDelay = 150 * time.Millisecond
-	// answeredParts is the number of parts in each of two generations that are known to have been answered.
-	answeredParts = 4096
-	// maxVouchAge is how old an answer may be that vouches for its parts: older than news of a crash take to
-	// arrive, it says nothing of a part that has turned bad since.
-	maxVouchAge = time.Second
+	// maxResumeTrialWait is the same for a stream that goes on elsewhere: longer than the pause after a failed
+	// trial, and shorter than callers wait for an event.
+	maxResumeTrialWait = 1500 * time.Millisecond
 )
 
-// partSet holds when servers last wrote on parts of prompts, without the oldest ones.
-type partSet struct{ newer, older map[uint64]time.Time }
-
-func newPartSet() *partSet { return &partSet{map[uint64]time.Time{}, map[uint64]time.Time{}} }
-
-func (p *partSet) add(now time.Time, part uint64) {
-	if len(p.newer) >= answeredParts {
-		p.newer, p.older = map[uint64]time.Time{}, p.newer
-	}
-	p.newer[part] = now
-}
-
-// take reports whether a server has written on the part within maxVouchAge, and removes it.
-func (p *partSet) take(now time.Time, part uint64) bool {
-	at, ok := p.newer[part]
-	if !ok {
-		at, ok = p.older[part]
-	}
-	delete(p.newer, part)
-	delete(p.older, part)
-	return ok && now.Sub(at) <= maxVouchAge
-}
-
 // promptParts returns the keys of the parts of a prompt that other requests may share: all but the last.
 func (s *Server) promptParts(r *request) []uint64 {
 	if s.opts.Suspects == nil || s.opts.Dialect.DecodePrefix == nil || !r.isGeneration() {
@@ -149,7 +120,7 @@
 	return a
 }
 
-// recordServiceAnswered records that a server of a service has begun to answer a request.
+// recordServiceAnswered records that a server of a service can run requests.
 func (s *Suspects) recordServiceAnswered(now time.Time, service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,51 +150,39 @@
 	return s.table.Get(part)
 }
 
-// recordPartsCrash records that a server crashed before it began to answer a request with these parts.
-// Parts that were written on here just before are left out, once. trial is the part that was tried, 0 for
-// none.
-func (s *Suspects) recordPartsCrash(now time.Time, server platformstate.Server, parts []uint64, trial uint64) {
-	name := crashName(server)
-	var entries []crashsuspect.Entry
-	s.mu.Lock()
-	for _, part := range parts {
-		if s.answered.take(now, part) {
-			continue
-		}
-		entries = append(entries, crashsuspect.Entry{
-			Fingerprint: part, Part: true, Crashes: []crashsuspect.Crash{{Name: name, At: now, Trial: trial == part}},
-		})
-	}
-	s.mu.Unlock()
-	if len(entries) == 0 {
+// recordPartsCrash records that a server crashed on which a run of a request with these parts had got to a
+// point. trial is the part that was tried, 0 for none.
+func (s *Suspects) recordPartsCrash(now time.Time, server platformstate.Server, parts []uint64, trial uint64, at crashsuspect.Progress) {
+	if len(parts) == 0 || !at.CountsAgainstParts() {
 		return
 	}
-	for _, e := range entries {
-		s.Log.Info().Uint64("part", e.Fingerprint).Str("crash", e.Crashes[0].Name).Bool("trial", e.Crashes[0].Trial).Msg("server crashed on a part of prompts")
+	name := crashName(server)
+	entries := make([]crashsuspect.Entry, 0, len(parts))
+	for _, part := range parts {
+		entries = append(entries, crashsuspect.Entry{Fingerprint: part, Part: true, Crashes: []crashsuspect.Crash{{
+			Name: name, At: now, Trial: trial == part, Events: at.Events, RunningMillis: at.Running.Milliseconds(),
+		}}})
+		s.Log.Info().Uint64("part", part).Str("crash", name).Bool("trial", trial == part).Int("events", at.Events).Dur("running", at.Running).
+			Msg("server crashed on a part of prompts")
 	}
 	s.Merge(now, entries)
 	s.Broadcast(entries)
 }
 
-// recordPartsAnswered records that a server has written on these parts, and clears those that are suspects.
-// source says for the log what showed that.
-func (s *Suspects) recordPartsAnswered(now time.Time, parts []uint64, source string) {
-	s.mu.Lock()
-	for _, part := range parts {
-		s.answered.add(now, part)
-	}
-	s.mu.Unlock()
-	s.clearParts(now, parts, source)
-}
-
-// clearParts clears those of the parts that have crashed servers.
-func (s *Suspects) clearParts(now time.Time, parts []uint64, source string) {
+// recordPartsRun records how far a run has got that was sent at sentAt, and clears its parts of the crashes that
+// it shows not to have been their fault.
+func (s *Suspects) recordPartsRun(now, sentAt time.Time, parts []uint64, p crashsuspect.Progress) {
 	var cleared []crashsuspect.Entry
 	s.mu.Lock()
 	for _, part := range parts {
-		if e, ok := s.table.Get(part); ok && len(e.Uncleared()) > 0 {
-			cleared = append(cleared, e.Clearing())
-			s.Log.Info().Uint64("part", part).Int("crashes", len(e.Uncleared())).Str("source", source).Msg("part of prompts cleared of crashes")
+		e, ok := s.table.Get(part)
+		if !ok {
+			continue
+		}
+		if entry, ok := e.ClearedBy(sentAt, p); ok {
+			cleared = append(cleared, entry)
+			s.Log.Info().Uint64("part", part).Int("crashes", len(entry.Crashes)).Int("events", p.Events).Dur("running", p.Running).Bool("complete", p.Complete).
+				Msg("part of prompts cleared of crashes")
 		}
 	}
 	s.mu.Unlock()
@@ -233,39 +192,21 @@
 	}
 }
 
-// vouch clears suspected parts that were written on here while news of their crashes were on the way, unless
-// another instance does so before. An answer vouches once: a part that has turned bad since would otherwise
-// never be refused.
-func (s *Suspects) vouch(entries []crashsuspect.Entry, now func() time.Time) {
-	known := map[uint64]bool{}
+// passed reports whether a run has itself got past all crashes that count against these parts.
+func (s *Suspects) passed(parts []uint64, p crashsuspect.Progress) bool {
 	s.mu.Lock()
-	for _, e := range entries {
-		if e.Part && s.table.CheckPart(now(), e.Fingerprint) == crashsuspect.Suspected && s.answered.take(now(), e.Fingerprint) {
-			known[e.Fingerprint] = true
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		if e, ok := s.table.Get(part); ok && !e.PassedBy(p) {
+			return false
 		}
 	}
-	s.mu.Unlock()
-	if len(known) == 0 {
-		return
-	}
-	time.AfterFunc(rand.N(maxVouchDelay), func() {
-		s.mu.Lock()
-		var parts []uint64
-		for part := range maps.Keys(known) {
-			if s.table.CheckPart(now(), part) == crashsuspect.Suspected {
-				parts = append(parts, part)
-			} else {
-				s.answered.add(now(), part)
-			}
-		}
-		s.mu.Unlock()
-		s.clearParts(now(), parts, "earlier answer here")
-	})
+	return true
 }
 
-// partsAllowed reports whether a request may still be sent that was admitted before it waited. One that a
-// server has begun to write on may go on elsewhere, unless a part of it is refused.
-func (s *Server) partsAllowed(r *request, begun bool) bool {
+// partsAllowed reports whether a request may still be sent that was admitted before it waited. before is how
+// far the run has got that goes on.
+func (s *Server) partsAllowed(r *request, before crashsuspect.Progress) bool {
 	if len(r.parts) == 0 {
 		return true
 	}
@@ -274,20 +215,38 @@
 	case crashsuspect.Clear:
 		return true
 	case crashsuspect.Suspected:
-		tried := r.trials.Load()
-		return begun || s.opts.Trials == nil || tried != nil && !slices.ContainsFunc(v.suspected, func(part uint64) bool { return !slices.Contains(*tried, part) })
+		return s.opts.Trials == nil || r.tries(v.suspected) || s.opts.Suspects.passed(v.suspected, before)
 	case crashsuspect.Refused:
 	}
 	return false
 }
 
+// tries reports whether a request is a trial of all of these parts.
+func (r *request) tries(parts []uint64) bool {
+	tried := r.trials.Load()
+	return tried != nil && !slices.ContainsFunc(parts, func(part uint64) bool { return !slices.Contains(*tried, part) })
+}
+
+// admitRest is admitParts for a run that goes on elsewhere.
+func (s *Server) admitRest(ctx context.Context, r *request, before crashsuspect.Progress) *answer.Failure {
+	if s.partsAllowed(r, before) {
+		return nil
+	}
+	s.endTrials(r, crashsuspect.TrialNotRun)
+	return s.admitPartsWithin(ctx, r, maxResumeTrialWait)
+}
+
 // admitParts lets a request run whose parts may crash servers: not if one of them does, and in a trial if
 // that isn't known yet. It waits a moment for its trial.
 func (s *Server) admitParts(ctx context.Context, r *request) *answer.Failure {
+	return s.admitPartsWithin(ctx, r, min(maxTrialWait, r.patience(s.opts.Now())))
+}
+
+func (s *Server) admitPartsWithin(ctx context.Context, r *request, limit time.Duration) *answer.Failure {
 	if len(r.parts) == 0 {
 		return nil
 	}
-	until := s.opts.Now().Add(min(maxTrialWait, r.patience(s.opts.Now())))
+	until := s.opts.Now().Add(limit)
 	for {
 		now := s.opts.Now()
 		v := s.opts.Suspects.checkParts(now, r.parts)
@@ -355,8 +314,8 @@
 	}
 }
 
-// endTrialsWith ends the trials of a request whose attempt has ended. Those whose server has written on
-// them have ended before.
+// endTrialsWith ends the trials of a request whose attempt has ended. Those that have shown something have
+// ended before.
 func (s *Server) endTrialsWith(r *request, res result) {
 	outcome := crashsuspect.TrialUnclear
 	if f, ok := res.(failed); ok {
@@ -378,21 +337,6 @@
 	return 0
 }
 
-// recordWritten records that a server has written a part of the answer to a request: no part of its prompt
-// crashes servers. The head of an answer, a failure of the server's own or an answer without content don't
-// show that: servers send them without having read the prompt.
-func (s *Server) recordWritten(r *request, source string) {
-	r.begun.Store(true)
-	if s.opts.Suspects == nil || !r.isGeneration() {
-		return
-	}
-	s.opts.Suspects.recordServiceAnswered(s.opts.Now(), r.service.Name)
-	if len(r.parts) > 0 {
-		s.opts.Suspects.recordPartsAnswered(s.opts.Now(), r.parts, source)
-		s.endTrials(r, crashsuspect.TrialAnswered)
-	}
-}
-
 func (s *Server) partRefusedFailure(r *request) *answer.Failure {
 	s.opts.Scope.Counter("part_refused").Inc(1)
 	s.log.Warn().Str("request", r.id).Str("service", r.serviceName()).Msg("request refused, a part of it crashes servers")
--- a/internal/ingress/suspect_parts_test.go
+++ b/internal/ingress/suspect_parts_test.go
@@ -15,8 +15,8 @@
 // newSuspectsPair returns the suspects of two instances that tell each other at once.
 func newSuspectsPair() (a, b *Suspects) {
 	a, b = NewSuspects(), NewSuspects()
-	a.Broadcast = func(entries []crashsuspect.Entry) { b.MergeReceived(time.Now(), entries) }
-	b.Broadcast = func(entries []crashsuspect.Entry) { a.MergeReceived(time.Now(), entries) }
+	a.Broadcast = func(entries []crashsuspect.Entry) { b.Merge(time.Now(), entries) }
+	b.Broadcast = func(entries []crashsuspect.Entry) { a.Merge(time.Now(), entries) }
 	return a, b
 }
 
@@ -24,24 +24,21 @@
 	return platformstate.Server{Server: dialect.Server{ID: fmt.Sprint("engine-", n), Zone: fmt.Sprint("zone-", n%3), StartedAtMillis: 1}}
 }
 
-// Guards against sound parts that stay suspect although another instance has seen them answered, and
-// against a bad part that an old answer clears again and again.
+// Guards against sound parts that stay suspect although another instance has seen them answered since, and
+// against a bad part that an answer from before clears.
 func TestOtherInstanceVouchesForParts(t *testing.T) {
 	const sound, bad, turnedBad = 1, 2, 3
 	a, b := newSuspectsPair()
-	b.recordPartsAnswered(time.Now(), []uint64{sound, turnedBad}, "event")
+	sentAt := time.Now()
+	whole := crashsuspect.Progress{Complete: true}
 	for n := range 4 {
-		a.recordPartsCrash(time.Now(), engineNumber(n), []uint64{sound, bad, turnedBad}, 0)
-		b.recordPartsAnswered(time.Now(), []uint64{sound}, "event")
-		if n < 3 {
-			// The answer seen by b vouches once, after the second crash.
-			require.Eventually(t, func() bool { return a.checkParts(time.Now(), []uint64{turnedBad}).verdict == crashsuspect.Clear }, testTimeout, time.Millisecond)
-		}
+		a.recordPartsCrash(time.Now(), engineNumber(n), []uint64{sound, bad, turnedBad}, 0, crashsuspect.Progress{})
+		b.recordPartsRun(time.Now(), sentAt, []uint64{turnedBad}, whole)
+		b.recordPartsRun(time.Now(), time.Now(), []uint64{sound}, whole)
 	}
 	for _, s := range []*Suspects{a, b} {
-		require.Eventually(t, func() bool { return s.checkParts(time.Now(), []uint64{sound}).verdict == crashsuspect.Clear }, testTimeout, time.Millisecond)
-		v := s.checkParts(time.Now(), []uint64{sound, bad, turnedBad})
-		require.Equal(t, []uint64{bad, turnedBad}, v.suspected)
+		require.Equal(t, crashsuspect.Clear, s.checkParts(time.Now(), []uint64{sound}).verdict)
+		require.Equal(t, []uint64{bad, turnedBad}, s.checkParts(time.Now(), []uint64{sound, bad, turnedBad}).suspected)
 	}
 }
 
@@ -50,15 +47,15 @@
 func TestPartsAreRefusedAfterTrials(t *testing.T) {
 	s, now := NewSuspects(), time.Now()
 	for n := range 30 {
-		s.recordPartsCrash(now, engineNumber(n), []uint64{1, 2}, 0)
+		s.recordPartsCrash(now, engineNumber(n), []uint64{1, 2}, 0, crashsuspect.Progress{})
 	}
 	require.Equal(t, crashsuspect.Suspected, s.checkParts(now, []uint64{1}).verdict, "may be tried")
 	require.Equal(t, crashsuspect.Refused, s.checkParts(now, []uint64{1, 2}).verdict, "a trial wouldn't tell which")
-	s.recordPartsAnswered(now, []uint64{1}, "event")
+	s.recordPartsRun(now, now, []uint64{1}, crashsuspect.Progress{Complete: true})
 	require.Equal(t, crashsuspect.Clear, s.checkParts(now, []uint64{1}).verdict)
 	for n := range 2 {
 		require.Equal(t, []uint64{2}, s.checkParts(now, []uint64{1, 2}).suspected)
-		s.recordPartsCrash(now, engineNumber(100+n), []uint64{1, 2}, 2)
+		s.recordPartsCrash(now, engineNumber(100+n), []uint64{1, 2}, 2, crashsuspect.Progress{})
 	}
 	require.Equal(t, crashsuspect.Refused, s.checkParts(now, []uint64{1, 2}).verdict)
 	require.True(t, s.PartRefused(now, 2))
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -39,9 +39,7 @@
 
 	mu    sync.Mutex
 	table *crashsuspect.Table
-	// answered holds the parts that were written on here.
-	answered *partSet
-	// lastAnswer is when a request of each service last began to be answered here.
+	// lastAnswer is when a run of each service last showed here that its servers can run requests.
 	lastAnswer map[string]time.Time
 }
 
@@ -49,14 +47,7 @@
 func NewSuspects() *Suspects {
 	p := crashsuspect.DefaultParams
 	p.Crashes, p.Retention = suspectCrashLimit, suspectRetention
-	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, Changed: func() {}, Log: zerolog.Nop(), table: crashsuspect.NewTable(p), answered: newPartSet(), lastAnswer: map[string]time.Time{}}
-}
-
-// MergeReceived adds the entries of another instance, and clears those parts for all that this instance
-// knows to be sound.
-func (s *Suspects) MergeReceived(now time.Time, entries []crashsuspect.Entry) {
-	s.Merge(now, entries)
-	s.vouch(entries, time.Now)
+	return &Suspects{Broadcast: func([]crashsuspect.Entry) {}, Changed: func() {}, Log: zerolog.Nop(), table: crashsuspect.NewTable(p), lastAnswer: map[string]time.Time{}}
 }
 
 // Merge adds entries.
@@ -147,7 +138,12 @@
 	if s.opts.Suspects == nil {
 		return nil
 	}
-	return s.crashes.reportLost(server, &lostRequest{request: r, at: s.opts.Now(), begun: r.begun.Load(), trial: r.triedPart()})
+	return s.crashes.reportLost(server, s.lost(r))
+}
+
+// lost returns what the loss of a request's server says of its present run.
+func (s *Server) lost(r *request) *lostRequest {
+	return &lostRequest{request: r, at: s.opts.Now(), progress: r.run.progress(), trial: r.triedPart()}
 }
 
 // awaitCrashCheck waits for the check of a server that a request lost if the request may have crashed others:
@@ -162,6 +158,12 @@
 	}
 }
 
+// recordAnswered records that a server has answered a request, and that the whole answer has arrived.
+func (s *Server) recordAnswered(r *request) {
+	s.clearSuspect(s.opts.Now(), r)
+	s.recordRunComplete(r)
+}
+
 // clearSuspect records that a request has completed.
 func (s *Server) clearSuspect(now time.Time, r *request) {
 	if s.opts.Suspects != nil {
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	in.gossip, err = gossip.New(gossip.Options{
-		ApplySuspects: in.suspects.MergeReceived, Suspects: in.suspects.Newest,
+		ApplySuspects: in.suspects.Merge, Suspects: in.suspects.Newest,
 		SuspectDigest: in.suspects.Digest, RecentSuspects: in.suspects.Recent, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
 		Seeds: in.seeds(), ServeBytesPerSecond: int(cfg.LinkMegabits * bytesPerMegabit * servedLinkShare),
