Count crashes for the last part of a prompt

Cause: the last part was left out, as belonging to one request. It belongs to the request or to its session, so that several requests may share it.

Why this works: all parts count. The last one counts once for each request, but in a trial: a sound request that loses two engines to others stays free. That is one key more for a request that runs on an engine as it crashes; the bounds of table, broadcast and kept objects stay.

Test: three cases of TestCrashCountsAgainstParts, all of which fail before.

--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -178,10 +178,16 @@
 	time.AfterFunc(crashMemory, func() { c.forget(check) })
 }
 
-// record records the crash of a server for a request; c.mu must be held.
+// record records the crash of a server for a request; c.mu must be held. The last part of a prompt counts once
+// for each request: that one request loses several servers shows nothing of others with that part.
 func (c *crashChecks) record(server platformstate.Server, lost *lostRequest) {
 	c.s.opts.Suspects.recordCrash(lost.at, server, lost.fingerprint)
-	c.s.opts.Suspects.recordPartsCrash(lost.at, server, lost.parts, lost.trial, lost.progress)
+	parts := lost.parts
+	if lost.lastPartCounted && lost.trial != parts[len(parts)-1] {
+		parts = parts[:len(parts)-1]
+	}
+	lost.lastPartCounted = len(lost.parts) > 0
+	c.s.opts.Suspects.recordPartsCrash(lost.at, server, parts, lost.trial, lost.progress)
 }
 
 func (c *crashChecks) forget(check *crashCheck) {
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -113,7 +114,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case e.aborts.Add(-1) >= 0:
 		panic(http.ErrAbortHandler)
-	case strings.HasPrefix(r.Header.Get(prefixField), "bad,"):
+	case slices.Contains(strings.Split(r.Header.Get(prefixField), ","), "bad"):
 		if e.events > 0 {
 			e.writeEvents(w, r)
 		}
@@ -168,18 +169,25 @@
 	leave := make(chan context.CancelFunc, 1)
 	for name, tt := range map[string]struct {
 		path string
+		// prompt is the prompt's parts, "bad,own" if it is empty.
+		prompt string
 		// failures are the answers with a failure before.
 		failures int
 		prepare  func(f *fixture, e *crashingEngine)
 		// known lets the part be suspected before, restarts has the platform list a new incarnation.
 		known, restarts bool
 		want            int
+		// once says that no more crashes than that count.
+		once bool
 	}{
 		"first attempt":                        {path: "/plan/1", want: 1},
 		"after the failure of another engine":  {path: "/check/1", failures: 1, want: 1},
 		"with the first event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1},
 		"with the first event, resumed":        {path: "/check/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 2},
 		"with the third event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 3 }, want: 1},
+		"the last part":                        {path: "/plan/1", prompt: "own,bad", want: 1},
+		"the only part":                        {path: "/plan/1", prompt: "bad", want: 1},
+		"the last part counts once a request":  {path: "/check/1", prompt: "own,bad", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1, once: true},
 		"the address is taken, entry is new":   {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.keepsListener = true }, restarts: true, want: 1},
 		"the caller leaves as the engine does": {path: "/plan/1", known: true, prepare: func(_ *fixture, e *crashingEngine) { e.beforeCrash = func() { (<-leave)() } }, want: 3},
 		"a busy instance has no worker to spare": {path: "/plan/1", prepare: func(f *fixture, _ *crashingEngine) {
@@ -202,7 +210,11 @@
 			if tt.known {
 				leave <- cancel
 			}
-			f.sendUntil(ctx, tt.path, "bad,own")
+			prompt := tt.prompt
+			if prompt == "" {
+				prompt = "bad,own"
+			}
+			f.sendUntil(ctx, tt.path, prompt)
 			if tt.restarts {
 				for i := range f.servers {
 					f.servers[i].StartedAtMillis = 2
@@ -210,6 +222,9 @@
 				f.state.ReplaceServers(f.clock.now(), 3, f.servers)
 			}
 			require.Eventually(t, func() bool { return f.uncleared("bad") >= tt.want }, testTimeout, 5*time.Millisecond)
+			if tt.once {
+				require.Never(t, func() bool { return f.uncleared("bad") > tt.want }, 3*crashRecheckDelay, 5*time.Millisecond)
+			}
 		})
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -68,11 +68,12 @@
 	lengthKey   outputlength.Key
 	learned     bool
 	fingerprint uint64
-	// parts holds the keys of the parts of the prompt that other requests may share, trials the suspected ones
-	// that the request tries.
+	// parts holds the keys of the parts of the prompt, trials the suspected ones that the request tries.
 	parts  []uint64
 	trials atomic.Pointer[[]uint64]
 	run    run
+	// lastPartCounted says that a crash has counted against the last part; see [crashChecks].
+	lastPartCounted bool
 }
 
 // isGeneration reports whether the request is for model engines.
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -34,7 +34,7 @@
 	maxResumeTrialWait = 1500 * time.Millisecond
 )
 
-// promptParts returns the keys of the parts of a prompt that other requests may share: all but the last.
+// promptParts returns the keys of the parts of a prompt. Requests of a session share the last one, too.
 func (s *Server) promptParts(r *request) []uint64 {
 	if s.opts.Suspects == nil || s.opts.Dialect.DecodePrefix == nil || !r.isGeneration() {
 		return nil
@@ -45,11 +45,8 @@
 			ids = append(ids, s.opts.Dialect.DecodePrefix(h.Value)...)
 		}
 	}
-	if len(ids) < 2 {
-		return nil
-	}
-	keys := make([]uint64, 0, len(ids)-1)
-	for _, id := range ids[:len(ids)-1] {
+	keys := make([]uint64, 0, len(ids))
+	for _, id := range ids {
 		keys = append(keys, crashsuspect.PartKey(r.service.Name, id))
 	}
 	return keys
