Blame crashes on a part that has failed its trials

Callers of sound requests that ran beside a bad part were refused or tried one at a time for crashes that were known to be its fault.

Cause: each crash counted for everything that ran on the server, also after the trials had shown which part it was.

Why this works: crashes under a part that has failed its trials explain those of others. A part stays suspect if one of its crashes isn't explained, and a whole request counts only those that aren't.

Test: TestCrashesOfACauseCountForNothingElse, which fails before.

--- a/internal/crashsuspect/parts.go
+++ b/internal/crashsuspect/parts.go
@@ -44,7 +44,7 @@
 		return Clear
 	}
 	crashes := e.Uncleared()
-	if len(crashes) < partCrashes {
+	if len(crashes) < partCrashes || t.countOfUnexplained(e) == 0 {
 		return Clear
 	}
 	failed := t.failedTrials(e)
@@ -82,6 +82,43 @@
 	return len(trials) - explained
 }
 
+// countOfUnexplained returns the number of crashes that count against an entry, without those that are blamed
+// on a part that has failed its trials: whatever else ran on those servers isn't the cause.
+func (t *Table) countOfUnexplained(e *record) int {
+	n := e.uncleared()
+	if n == 0 || t.isCause(e) {
+		return n
+	}
+	if t.blamed == nil {
+		t.blame()
+	}
+	for _, c := range e.Crashes {
+		if !c.Cleared && t.blamed[c.Name] {
+			n--
+		}
+	}
+	return n
+}
+
+// blame finds the crashes under parts that have failed their trials.
+func (t *Table) blame() {
+	t.blamed = map[string]bool{}
+	for at := t.active.Front(); at != nil; at = at.Next() {
+		e := at.Value.(*record)
+		if !t.isCause(e) {
+			continue
+		}
+		for _, c := range e.Uncleared() {
+			t.blamed[c.Name] = true
+		}
+	}
+}
+
+// isCause reports whether a part has failed its trials.
+func (t *Table) isCause(e *record) bool {
+	return e.Part && e.FailedTrials() >= failedTrials && t.failedTrials(e) >= failedTrials
+}
+
 // FailedTrials returns the number of trials in which servers crashed.
 func (e *Entry) FailedTrials() int {
 	n := 0
--- a/internal/crashsuspect/progress_test.go
+++ b/internal/crashsuspect/progress_test.go
@@ -70,3 +70,28 @@
 		require.Len(t, entry.Crashes, 1, "known as long as before, and cleared by less")
 	})
 }
+
+// Guards against sound parts and requests that are refused for the crashes of a part that has failed its trials.
+func TestCrashesOfACauseCountForNothingElse(t *testing.T) {
+	now := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+	const cause, sound, other, request = 1, 2, 3, 4
+	table := NewTable(DefaultParams)
+	crash := func(key uint64, n int, trial bool) {
+		table.Merge(now, []Entry{{Fingerprint: key, Part: key != request, Crashes: []Crash{{Name: fmt.Sprint("zone-", n, "/engine/1"), At: now, Trial: trial}}}})
+	}
+	for n := range 4 {
+		crash(cause, n, n >= 2)
+		crash(sound, n, false)
+		crash(request, n, false)
+	}
+	require.Equal(t, Clear, table.CheckPart(now, sound))
+	require.Equal(t, Clear, table.Check(now, request))
+	crash(other, 2, false)
+	crash(other, 3, false)
+	require.Equal(t, Clear, table.CheckPart(now, other))
+	require.Equal(t, Refused, table.CheckPart(now, cause))
+	e, _ := table.Get(cause)
+	table.Merge(now, []Entry{e.Clearing()})
+	require.Equal(t, Suspected, table.CheckPart(now, sound), "it wasn't the cause")
+	require.Equal(t, Refused, table.Check(now, request))
+}
--- a/internal/crashsuspect/table.go
+++ b/internal/crashsuspect/table.go
@@ -15,6 +15,8 @@
 	// the front of active; scanning all records would take 0.3 ms at 4,000.
 	active, zoneLoss *list.List
 	zones            zones
+	// blamed has the crashes that are blamed on a part; nil after a change. See [Table.countOfUnexplained].
+	blamed map[string]bool
 }
 
 // record is an entry and its position in one of the lists.
@@ -45,10 +47,13 @@
 // Check returns whether a request may run.
 func (t *Table) Check(now time.Time, fingerprint uint64) Verdict {
 	e, ok := t.entries[fingerprint]
-	switch {
-	case !ok || e.uncleared() == 0 || t.expired(now, e.Entry) || t.causedByZoneLoss(e.Entry):
+	if !ok || t.expired(now, e.Entry) || t.causedByZoneLoss(e.Entry) {
 		return Clear
-	case e.uncleared() >= t.params.Crashes:
+	}
+	switch n := t.countOfUnexplained(e); {
+	case n == 0:
+		return Clear
+	case n >= t.params.Crashes:
 		return Refused
 	}
 	return Suspected
@@ -114,6 +119,7 @@
 		keep = keptPartCrashes
 	}
 	e.merge(now, in, keep)
+	t.blamed = nil
 	t.reposition(e)
 }
 
@@ -154,4 +160,5 @@
 	}
 	e := from.Remove(from.Back()).(*record)
 	delete(t.entries, e.Fingerprint)
+	t.blamed = nil
 }
