Ask whether a request is refused before its stream goes on

Callers saw a request that crashes engines in the middle of its answer crash up to seven of them in one attempt, with the streams of others that ran there.

Cause: a stream that had begun was sent on by resume, restartElsewhere and send, which didn't ask whether the request was refused meanwhile.

--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -397,3 +397,18 @@
 	require.Len(t, e.Uncleared(), 1)
 	require.True(t, f.opts.Suspects.hasCrashed(2*maxLostRequests-1, nil))
 }
+
+// Guards against a request that crashes engines in the middle of its answer and is sent on to the next one after
+// it was refused.
+func TestRefusedStreamDoesNotGoOn(t *testing.T) {
+	f, engines := startCrashingEngines(t, 8, 0, func(e *crashingEngine) { e.events = 2 })
+	require.Equal(t, http.StatusOK, f.sendUntil(t.Context(), "/check/1", "bad"))
+	require.Equal(t, http.StatusServiceUnavailable, f.sendUntil(t.Context(), "/check/1", "bad"))
+	crashed := 0
+	for _, e := range engines {
+		if e.crashed.Load() {
+			crashed++
+		}
+	}
+	require.Equal(t, suspectCrashLimit, crashed)
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -383,6 +383,9 @@
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
+	if f := cs.s.refuseSuspect(cs.s.opts.Now(), cs.r); f != nil {
+		return nil, f
+	}
 	if f := cs.s.admitRest(ctx, cs.r, cs.r.run.progress()); f != nil {
 		return nil, f
 	}
