Clear a request of its crashes only when its long answer is whole

Cause: the head of such an answer cleared the request, and the loss of the rest wasn't checked for a crash.

Why this works: the request is cleared once the rest has arrived; if the connection to the server is lost before, the server is checked.

Test: TestHeadOfLongAnswerClearsNothing, whose case "lost" fails before.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -49,6 +49,9 @@
 // errResponseAborted means that the response had started and its connection was closed.
 var errResponseAborted = merry.Sentinel("response aborted")
 
+// errBodyLost is its cause if the connection to the server was lost.
+var errBodyLost = merry.Sentinel("the rest of the body was lost")
+
 // result is the outcome of one attempt: [responded], [failed] or [streamDone].
 type result interface{ result() }
 
@@ -256,8 +259,18 @@
 		s.recordOutcome(place.Server, r, rollout.MetricAnswer, res.response.Status >= http.StatusInternalServerError, now.Sub(t.sentAt))
 		if res.response.Status < http.StatusInternalServerError {
 			s.opts.Retries.RecordSuccess(now, r.service.Name)
-			s.recordAnswered(r)
-			return false, s.writeResponse(c, r, res.response)
+			if !res.response.Partial {
+				s.recordAnswered(r)
+				return false, s.writeResponse(c, r, res.response)
+			}
+			err := s.writeResponse(c, r, res.response)
+			switch {
+			case err == nil:
+				s.recordAnswered(r)
+			case errors.Is(err, errBodyLost):
+				s.reportCrash(place.Server, r)
+			}
+			return false, err
 		}
 		t.keepResponse(res.response)
 		return s.retryElsewhere(ctx, c, r, t, id, failed{cause: retry.CauseLost, mayHaveRun: true, err: errServerFailed})
@@ -368,9 +381,10 @@
 	}
 	piece := make([]byte, pieceBytes)
 	for {
-		n, err := body.Read(piece)
+		n, readErr := body.Read(piece)
+		err := readErr
 		if n > 0 {
-			err = errors.Join(writePiece(writer, piece[:n]), ignoreEOF(err))
+			err = errors.Join(writePiece(writer, piece[:n]), ignoreEOF(readErr))
 		}
 		if errors.Is(err, io.EOF) {
 			s.log.Info().Str("request", r.id).Int("status", response.Status).Dur("took", s.opts.Now().Sub(r.start)).Msg("response sent")
@@ -381,6 +395,9 @@
 			c.SetConnectionClose()
 			s.opts.Scope.Counter("responses_cut").Inc(1)
 			s.log.Warn().Str("request", r.id).Int("status", response.Status).Dur("took", s.opts.Now().Sub(r.start)).Err(err).Msg("response cut")
+			if ignoreEOF(readErr) != nil {
+				return merry.Wrap(errResponseAborted, merry.WithCause(errBodyLost))
+			}
 			return errResponseAborted
 		}
 	}
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/stretchr/testify/require"
 
@@ -412,3 +413,30 @@
 	}
 	require.Equal(t, suspectCrashLimit, crashed)
 }
+
+// Guards against a whole request that the head of its answer clears of its crashes.
+func TestHeadOfLongAnswerClearsNothing(t *testing.T) {
+	const crashes = 2
+	for name, complete := range map[string]bool{"whole": true, "lost": false} {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, map[string]http.Handler{"desk-1": &backend{handle: func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, 4<<20))
+				_ = http.NewResponseController(w).Flush()
+				if !complete {
+					panic(http.ErrAbortHandler)
+				}
+			}}}, func(o *Options) { o.Suspects = NewSuspects() })
+			fingerprint := xxhash.Sum64String("club\nPOST /book/1\n{}")
+			for n := range crashes {
+				f.opts.Suspects.recordCrash(f.clock.now(), engineNumber(n), fingerprint)
+			}
+			resp := f.send("POST", "/book/1", "{}")
+			_, err := io.Copy(io.Discard, resp.Body)
+			require.Equal(t, complete, err == nil)
+			require.Eventually(t, func() bool {
+				e, _ := f.opts.Suspects.Entry(fingerprint)
+				return len(e.Crashes) == crashes && (len(e.Uncleared()) == 0) == complete
+			}, testTimeout, 5*time.Millisecond)
+		})
+	}
+}
