Check servers whose answers end with their connections

Why this works: the server is asked for a connection a moment later. One that refuses has crashed; only one that accepts has answered. Requests that may have crashed a server wait for that, others are checked in the background.

Test: "after an event, without framing" of TestCrashCountsAgainstParts, which fails before.

--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -97,6 +97,17 @@
 	return check.first
 }
 
+// accepts reports whether a server still accepts connections a moment after it has ended one.
+func (c *crashChecks) accepts(server platformstate.Server) bool {
+	time.Sleep(crashRecheckDelay)
+	conn, err := c.s.opts.Dial(context.Background(), server.Address, crashCheckTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (c *crashCheck) endFirst() { c.once.Do(func() { close(c.first) }) }
 
 func (c *crashChecks) drop(server platformstate.Server, reason string) {
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -104,6 +104,8 @@
 	keepsListener bool
 	// events is the number of events that the engine writes before it crashes.
 	events int
+	// unframed ends its answers with their connections.
+	unframed bool
 }
 
 func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,7 +135,19 @@
 // writeEvents writes the events before a crash.
 func (e *crashingEngine) writeEvents(w http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	sendEvents(last+1, last+e.events, true)(w, r)
+	if !e.unframed {
+		sendEvents(last+1, last+e.events, true)(w, r)
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: sealed\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("T-Id"))
+	for id := last + 1; id <= last+e.events; id++ {
+		_, _ = fmt.Fprintf(conn, "id: %d\ndata: e%d\n\n", id, id)
+	}
+	_ = conn.Close()
 }
 
 // startCrashingEngines returns a fixture with n engines that crash on a part, after some failures of their own.
@@ -181,11 +195,14 @@
 		// once says that no more crashes than that count.
 		once bool
 	}{
-		"first attempt":                        {path: "/plan/1", want: 1},
-		"after the failure of another engine":  {path: "/check/1", failures: 1, want: 1},
-		"with the first event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1},
-		"with the first event, resumed":        {path: "/check/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 2},
-		"with the third event":                 {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 3 }, want: 1},
+		"first attempt":                       {path: "/plan/1", want: 1},
+		"after the failure of another engine": {path: "/check/1", failures: 1, want: 1},
+		"with the first event":                {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1},
+		"with the first event, resumed":       {path: "/check/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 2},
+		"with the third event":                {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) { e.events = 3 }, want: 1},
+		"after an event, without framing": {path: "/plan/1", prepare: func(_ *fixture, e *crashingEngine) {
+			e.events, e.unframed = 3, true
+		}, want: 1},
 		"the last part":                        {path: "/plan/1", prompt: "own,bad", want: 1},
 		"the only part":                        {path: "/plan/1", prompt: "bad", want: 1},
 		"the last part counts once a request":  {path: "/check/1", prompt: "own,bad", prepare: func(_ *fixture, e *crashingEngine) { e.events = 1 }, want: 1, once: true},
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -96,6 +96,7 @@
 			return cs.abort(lost)
 		}
 		err = cs.relay(ctx, response)
+		unframed := response.IsCloseDelimited()
 		response.Close()
 		switch {
 		case err == nil:
@@ -103,7 +104,11 @@
 				Func(s.logExpected(r)).Msg("stream ended")
 			cs.observeLength(false)
 			s.opts.Retries.RecordSuccess(s.opts.Now(), r.service.Name)
-			s.recordAnswered(r)
+			if unframed {
+				s.confirmEnd(cs.stream.server(), r)
+			} else {
+				s.recordAnswered(r)
+			}
 			return streamDone{}
 		case ctx.Err() != nil || errors.Is(err, errCallerGone):
 			return cs.abort(failed{cause: retry.CauseLost, mayHaveRun: true, err: err})
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -164,6 +164,30 @@
 	s.recordRunComplete(r)
 }
 
+// confirmEnd records the end of an answer that ended with its connection. That of a server that crashes between
+// two events ends in the same way, so that the server is checked first.
+func (s *Server) confirmEnd(server platformstate.Server, r *request) {
+	if s.opts.Suspects == nil {
+		return
+	}
+	lost := s.lost(r)
+	confirm := func() {
+		if s.crashes.accepts(server) {
+			s.recordAnswered(r)
+			return
+		}
+		<-s.crashes.reportLost(server, lost)
+		s.endTrials(r, crashsuspect.TrialFailed)
+	}
+	if s.opts.Suspects.hasCrashed(r.fingerprint, r.parts) {
+		confirm()
+		return
+	}
+	if s.crashes.workers.Submit(confirm) != nil {
+		s.crashes.drop(server, "too many servers are being checked")
+	}
+}
+
 // clearSuspect records that a request has completed.
 func (s *Server) clearSuspect(now time.Time, r *request) {
 	if s.opts.Suspects != nil {
