--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -30,8 +30,9 @@
 	maxAwaitingRestart = 256
 )
 
-// restartChecks are the times after a loss at which the platform may have listed a new incarnation.
-var restartChecks = []time.Duration{time.Second, 2 * time.Second, 4 * time.Second}
+// restartChecks are the times after a loss at which the platform may have listed a new incarnation. The last
+// one is for servers that fall silent before they end.
+var restartChecks = []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
 
 // lostRequest is a request whose connection to a server was lost. progress is how far its run there had got;
 // trial is the part that was tried, 0 for none.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -121,6 +121,10 @@
 			if known, ok := s.opts.State.Server(server.ID); ok && !known.Leaving {
 				s.recordOutcome(server, r, rollout.MetricAnswer, true, 0)
 			}
+		case cs.stream.silenceConfirmed() && !cs.stream.isCuttingOver() && !cs.stream.hasNextRun():
+			// An engine that falls silent may be about to end.
+			checked = s.reportCrash(cs.stream.server(), r)
+			s.endTrials(r, crashsuspect.TrialFailed)
 		}
 		if resumes >= maxResumes {
 			return cs.abort(failed{cause: retry.CauseLost, mayHaveRun: true, err: err})
