Let runs that were sent with the crashed ones clear sound parts

Cause: only runs that were sent after a crash was known could show that a part isn't its cause, and a part with crashes far into their runs needs long ones.

Why this works: a crash says how long before the crashed run was sent. Any run sent since can show that the part was sound by then; most are under way already.

Test: "sent after the last run" of TestRunsClearCrashes, which fails before.

--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -65,9 +65,11 @@
 	// Cleared says that a run since the crash has shown that the request or part isn't its cause; see
 	// [Progress]. It doesn't depend on the clocks of the instances that saw the one and the other.
 	Cleared bool `json:"cleared,omitempty"`
-	// Events and RunningMillis say how far the run had got; see [Progress].
-	Events        int   `json:"events,omitempty"`
-	RunningMillis int64 `json:"runningMillis,omitempty"`
+	// Events, RunningMillis and SinceSentMillis say how far the run had got; see [Progress]. The last one is
+	// relative, so that the clocks of instances make no difference.
+	Events          int   `json:"events,omitempty"`
+	RunningMillis   int64 `json:"runningMillis,omitempty"`
+	SinceSentMillis int64 `json:"sinceSentMillis,omitempty"`
 	// knownAt is when this instance first knew of the crash.
 	knownAt time.Time
 }
@@ -203,7 +205,7 @@
 		known := &e.Crashes[i]
 		point := known.progress().further(c.progress())
 		c.Trial, c.Cleared, c.knownAt = c.Trial || known.Trial, c.Cleared || known.Cleared, known.knownAt
-		c.Events, c.RunningMillis = point.Events, point.Running.Milliseconds()
+		c.setProgress(point)
 		if !c.At.Before(known.At) {
 			c.At = known.At
 			*known = c
--- a/internal/crashsuspect/progress_test.go
+++ b/internal/crashsuspect/progress_test.go
@@ -29,15 +29,14 @@
 	}
 }
 
-// Guards against crashes that a run clears although it was sent before they were known, or didn't get past them.
+// Guards against crashes that a run clears although it was sent before the runs that crashed, or didn't get past
+// them.
 func TestRunsClearCrashes(t *testing.T) {
 	start := time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
 	at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
 	table := NewTable(DefaultParams)
-	for n, point := range []Progress{{}, {Events: 20, Running: time.Second}, {}} {
-		table.Merge(at(n), []Entry{{Fingerprint: 1, Part: true, Crashes: []Crash{{
-			Name: fmt.Sprint("zone/engine-", n, "/1"), At: start, Events: point.Events, RunningMillis: point.Running.Milliseconds(),
-		}}}})
+	for n, point := range []Progress{{}, {Events: 20, Running: time.Second}, {SinceSent: time.Second}} {
+		table.Merge(at(n), []Entry{PartCrash(1, Crash{Name: fmt.Sprint("zone/engine-", n, "/1"), At: start}, point)})
 	}
 	known, _ := table.Get(1)
 	past, beyond := Progress{Events: 20, Running: time.Second}, Progress{Events: 100, Running: 5 * time.Second}
@@ -48,6 +47,7 @@
 	}{
 		"sent before all":           {at(-1), Progress{Complete: true}, 0},
 		"sent after the first":      {at(0), Progress{Complete: true}, 1},
+		"sent after the last run":   {at(1), Progress{Complete: true}, 3},
 		"sent after all, begun":     {at(9), Progress{Events: 1}, 0},
 		"sent after all, past some": {at(9), past, 2},
 		"sent after all, beyond":    {at(9), beyond, 3},
--- a/internal/ingress/suspect_parts.go
+++ b/internal/ingress/suspect_parts.go
@@ -156,9 +156,7 @@
 	name := crashName(server)
 	entries := make([]crashsuspect.Entry, 0, len(parts))
 	for _, part := range parts {
-		entries = append(entries, crashsuspect.Entry{Fingerprint: part, Part: true, Crashes: []crashsuspect.Crash{{
-			Name: name, At: now, Trial: trial == part, Events: at.Events, RunningMillis: at.Running.Milliseconds(),
-		}}})
+		entries = append(entries, crashsuspect.PartCrash(part, crashsuspect.Crash{Name: name, At: now, Trial: trial == part}, at))
 		s.Log.Info().Uint64("part", part).Str("crash", name).Bool("trial", trial == part).Int("events", at.Events).Dur("running", at.Running).
 			Msg("server crashed on a part of prompts")
 	}
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -143,7 +143,9 @@
 
 // lost returns what the loss of a request's server says of its present run.
 func (s *Server) lost(r *request) *lostRequest {
-	return &lostRequest{request: r, at: s.opts.Now(), progress: r.run.progress(), trial: r.triedPart()}
+	now, p := s.opts.Now(), r.run.progress()
+	p.SinceSent = now.Sub(r.run.sentAt)
+	return &lostRequest{request: r, at: now, progress: p, trial: r.triedPart()}
 }
 
 // awaitCrashCheck waits for the check of a server that a request lost if the request may have crashed others:
