Release the failures that were kept for a request

Cause: the failure of a first attempt is kept in case no other server answers. If another one did, or the caller left, nobody closed it, so that the memory that was reserved for its body stayed reserved.

Why this works: what is kept is closed when the request ends, or handed on to be written.

Test: TestKeptFailuresReleaseTheirMemory, two of whose four cases fail before.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -103,6 +103,7 @@
 		return f
 	}
 	t := &attempts{excluded: map[string]bool{}, resuming: r.resumesStream()}
+	defer t.dropResponse()
 	for {
 		now := s.opts.Now()
 		if !now.Before(r.startDeadline) {
@@ -304,10 +305,16 @@
 }
 
 func (t *attempts) keepResponse(response *upstream.Response) {
+	t.dropResponse()
+	t.lastResponse = response
+}
+
+// dropResponse closes the response that was kept, which releases its memory.
+func (t *attempts) dropResponse() {
 	if t.lastResponse != nil {
 		t.lastResponse.Close()
+		t.lastResponse = nil
 	}
-	t.lastResponse = response
 }
 
 // retryElsewhere reports whether the request is sent to another server, after the backoff.
@@ -339,8 +346,9 @@
 // giveUp responds with the last failure response of a server if there is one, or with f, which says
 // "not run" only if no server may have run the request.
 func (s *Server) giveUp(c *app.RequestContext, r *request, t *attempts, f *answer.Failure) error {
-	if t.lastResponse != nil {
-		return s.writeResponse(c, r, t.lastResponse)
+	if response := t.lastResponse; response != nil {
+		t.lastResponse = nil
+		return s.writeResponse(c, r, response)
 	}
 	if t.possibleRuns > 0 && f.Outcome == answer.OutcomeNotRun {
 		return lostFailure()
