--- a/internal/standin/command/engine.go
+++ b/internal/standin/command/engine.go
@@ -28,6 +28,7 @@
 	ColdOverload string  `default:"crash" enum:"crash,slow,refuse" help:"Behavior above the cold limit (crash, slow, refuse)."`
 	ColdSlowdown float64 `default:"10" help:"Factor by which an overloaded cold engine is slower."`
 	PoisonMarker string  `help:"Text that crashes the engine when it occurs in a prompt."`
+	PoisonMillis int64   `default:"0" help:"Time from the start of such a generation to the crash."`
 	Crash        string  `default:"exit" enum:"exit,restart" help:"Whether a crash ends the process or restarts the engine within it."`
 
 	ReportLagMillis int64   `default:"200" help:"Age of load reports."`
@@ -69,6 +70,7 @@
 	opts.ColdOverload = engine.OverloadMode(e.ColdOverload)
 	opts.ColdSlowdown = e.ColdSlowdown
 	opts.PoisonMarker = e.PoisonMarker
+	opts.PoisonDelay = millis(e.PoisonMillis)
 	opts.CrashMode = engine.CrashMode(e.Crash)
 	opts.ReportLag = millis(e.ReportLagMillis)
 	opts.EventLag = millis(e.EventLagMillis)
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -79,7 +79,9 @@
 	// PoisonMarker is a text that crashes the engine when it occurs in a prompt;
 	// empty disables this.
 	PoisonMarker string
-	CrashMode    CrashMode
+	// PoisonDelay is the time from the start of such a generation to the crash.
+	PoisonDelay time.Duration
+	CrashMode   CrashMode
 
 	// ReportLag is the age of load reports, EventLag that of cache events.
 	// EventLoss is the fraction of cache events that are lost.
--- a/internal/standin/engine/requests.go
+++ b/internal/standin/engine/requests.go
@@ -103,6 +103,10 @@
 	s.batch.Add(g.sequence)
 	poisoned := s.opts.PoisonMarker != "" && strings.Contains(req.prompt(), s.opts.PoisonMarker)
 	overloaded := s.isCold(now) && s.opts.ColdOverload == OverloadCrash && s.requestCount() > s.opts.ColdLimit
+	if poisoned && s.opts.PoisonDelay > 0 {
+		s.crashLater(now.Add(s.opts.PoisonDelay))
+		poisoned = false
+	}
 	if poisoned || overloaded {
 		s.crash(now)
 		return nil, nil
@@ -111,6 +115,18 @@
 	return g, nil
 }
 
+// crashLater crashes the present incarnation after the poison delay; s.mu must be held.
+func (s *Server) crashLater(at time.Time) {
+	incarnation := s.incarnation
+	time.AfterFunc(s.opts.PoisonDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.incarnation == incarnation {
+			s.crash(at)
+		}
+	})
+}
+
 func (s *Server) checkAdmission(id string, req completionRequest, now time.Time) *refusal {
 	switch {
 	case s.leaving:
--- a/test/failure/crashing_test.go
+++ b/test/failure/crashing_test.go
@@ -64,6 +64,36 @@
 	s.WaitIdle(t)
 }
 
+// Guards against a request that crashes engines in the middle of its answer, and is sent on or repeated without a
+// bound because it has begun.
+func TestCrashingRequestAmidItsAnswer(t *testing.T) {
+	s := start(t, system.Options{
+		TimeScale:  2,
+		EngineArgs: []string{"--poison-marker", crashMarker, "--poison-millis", "700", "--crash", "restart", "--cold-millis", "0"},
+	})
+	c := s.Caller("kigali-flyers")
+	refusals, begun := 0, 0
+	for i := 0; refusals < len(s.Instances); i++ {
+		require.Less(t, i, 20, "the request isn't refused")
+		st, err := c.Generate(context.Background(), t, s.Instances[i%len(s.Instances)].Caller, "flight-briefing", crashMarker, maxOutputTokens)
+		require.NoError(t, err)
+		if st.Failure == nil {
+			_ = st.Read(0)
+			st.Close()
+		}
+		if len(st.Tokens) > 0 {
+			begun++
+		}
+		if st.Failure == nil || st.Failure.Code != answer.Code(permit.ReasonSuspect) {
+			refusals = 0
+			continue
+		}
+		refusals++
+	}
+	require.Positive(t, begun)
+	require.Equal(t, 2, countCrashes(t, s), "engines crashed by one request")
+}
+
 // Guards against owners that grant a crashing request an engine because its caller repeats it before
 // they hear of the crash.
 func TestCrashingRequestRepeatedAtOnce(t *testing.T) {
