--- a/internal/crashsuspect/crashsuspect.go
+++ b/internal/crashsuspect/crashsuspect.go
@@ -79,7 +79,7 @@
 	Fingerprint uint64  `json:"fingerprint"`
 	Crashes     []Crash `json:"crashes"`
 	// ClearedAt is when the request last finished; earlier crashes don't count.
-	ClearedAt time.Time `json:"clearedAt"`
+	ClearedAt time.Time `json:"clearedAt,omitzero"`
 	// RefusedAt is about when a request with a refused part last came.
 	RefusedAt time.Time `json:"refusedAt,omitzero"`
 	// Part says that the fingerprint is the key of a part of prompts.
