Limit how long a trial keeps others from being tried

Callers of requests that share a suspected sound part would wait, or be refused, for as long as one caller doesn't read the answer of its trial: read, not seen.

Cause: a trial lasts until its run has shown something, and is renewed until then.

Why this works: it is renewed eight times at most; then it ends at its keeper by itself, and others may try.

Test: TestTrialIsNotRenewedForEver; the code before has no bound to test.

--- a/internal/trialpeer/peer.go
+++ b/internal/trialpeer/peer.go
@@ -39,8 +39,10 @@
 	keeperCount = 2
 	// maxCalls limits the concurrent calls that renew and end trials. A trial that isn't ended ends by itself.
 	maxCalls = 32
-	// renewInterval is the time between two renewals of a trial in progress.
+	// renewInterval is the time between two renewals of a trial in progress, maxRenewals limits them: a run that
+	// has shown nothing by then may have a caller that doesn't read, and keeps others from being tried.
 	renewInterval = time.Second
+	maxRenewals   = 8
 )
 
 // SettleTime is how long an instance that starts should grant no trial: longer than it takes until the trials in
@@ -104,6 +106,12 @@
 	holder string
 }
 
+// renewal is the next renewal of a trial; n counts those before.
+type renewal struct {
+	timer *time.Timer
+	n     int
+}
+
 // Peer begins and ends the trials of one instance, and keeps those of parts that it is the keeper of. It is
 // safe for concurrent use.
 type Peer struct {
@@ -114,8 +122,8 @@
 
 	mu     sync.Mutex
 	trials *crashsuspect.Trials
-	// held has the timers that renew the trials of this instance.
-	held map[heldTrial]*time.Timer
+	// held has the next renewals of the trials of this instance.
+	held map[heldTrial]renewal
 }
 
 // New returns a peer.
@@ -126,15 +134,15 @@
 	}
 	return &Peer{
 		opts: opts, client: instancerpc.NewClient(opts.Key, opts.Self, callTimeout), calls: calls, startedAt: opts.Now(),
-		trials: crashsuspect.NewTrials(), held: map[heldTrial]*time.Timer{},
+		trials: crashsuspect.NewTrials(), held: map[heldTrial]renewal{},
 	}, nil
 }
 
 // Close ends the connections to other instances.
 func (p *Peer) Close() {
 	p.mu.Lock()
-	for trial, timer := range p.held {
-		timer.Stop()
+	for trial, next := range p.held {
+		next.timer.Stop()
 		delete(p.held, trial)
 	}
 	p.mu.Unlock()
@@ -142,30 +150,43 @@
 	p.client.CloseIdleConnections()
 }
 
-// Begin reports whether the holder may try a part now. The trial is renewed until End is called.
+// Begin reports whether the holder may try a part now. The trial is renewed until End is called, maxRenewals times
+// at most.
 func (p *Peer) Begin(ctx context.Context, part uint64, holder string) bool {
 	granted := p.askKeepers(ctx, part, holder)
 	if granted {
 		p.mu.Lock()
-		p.renewLater(heldTrial{part, holder})
+		p.renewLater(heldTrial{part, holder}, 0)
 		p.mu.Unlock()
 	}
 	return granted
 }
 
-// renewLater renews a trial after renewInterval, and again until it has ended. p.mu must be held.
-func (p *Peer) renewLater(trial heldTrial) {
-	p.held[trial] = time.AfterFunc(renewInterval, func() {
-		p.mu.Lock()
-		_, held := p.held[trial]
-		if held {
-			p.renewLater(trial)
-		}
-		p.mu.Unlock()
-		if held {
+// renewLater renews a trial after renewInterval, and again until it has ended; n counts the renewals before.
+// p.mu must be held.
+func (p *Peer) renewLater(trial heldTrial, n int) {
+	p.held[trial] = renewal{n: n, timer: time.AfterFunc(renewInterval, func() {
+		if p.countRenewal(trial) {
 			p.renew(trial)
 		}
-	})
+	})}
+}
+
+// countRenewal reports whether a trial is still in progress and to be renewed.
+func (p *Peer) countRenewal(trial heldTrial) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next, held := p.held[trial]
+	if !held {
+		return false
+	}
+	next.timer.Stop()
+	if next.n >= maxRenewals {
+		delete(p.held, trial)
+		return false
+	}
+	p.renewLater(trial, next.n+1)
+	return true
 }
 
 // renew tells the keepers of a part that its trial is in progress.
@@ -220,8 +241,8 @@
 // End ends a trial in the background.
 func (p *Peer) End(part uint64, holder string, outcome crashsuspect.TrialOutcome) {
 	p.mu.Lock()
-	if timer, ok := p.held[heldTrial{part, holder}]; ok {
-		timer.Stop()
+	if next, ok := p.held[heldTrial{part, holder}]; ok {
+		next.timer.Stop()
 		delete(p.held, heldTrial{part, holder})
 	}
 	p.mu.Unlock()
--- a/internal/trialpeer/peer_test.go
+++ b/internal/trialpeer/peer_test.go
@@ -100,3 +100,16 @@
 	closeKeeper(keepers[1].ID)
 	require.False(t, other.Begin(t.Context(), part, "c"))
 }
+
+// Guards against a trial whose caller doesn't read and that keeps all other requests with its part waiting.
+func TestTrialIsNotRenewedForEver(t *testing.T) {
+	all, _ := startInstances(t, 1, func(uint64) bool { return false })
+	require.True(t, all[0].Begin(t.Context(), 5, "a"))
+	trial := heldTrial{5, "a"}
+	for range maxRenewals {
+		require.True(t, all[0].countRenewal(trial))
+	}
+	require.False(t, all[0].countRenewal(trial))
+	require.Empty(t, all[0].held)
+	all[0].End(5, "a", crashsuspect.TrialUnclear)
+}
