Don't call engines that were to leave about lost streams

Cause: since a lost stream's engine is told to stop first. One that has ended after its notice doesn't answer, and the call waits for its dial.

Why this works: an engine that is leaving, or isn't listed any more, has ended.

The unit tests of lost streams pass.

--- a/internal/ingress/lost_streams.go
+++ b/internal/ingress/lost_streams.go
@@ -19,6 +19,10 @@
 	if e == nil || !e.SupportsMigration || cs.stream.silenceConfirmed() {
 		return point, nil
 	}
+	if known, ok := cs.s.opts.State.Server(source.ID); !ok || known.Leaving {
+		// The engine has ended; a call to it would wait until its dial times out.
+		return point, nil
+	}
 	tokens := cs.r.promptTokens + cs.stream.generatedTokens()
 	limit := silentStopTimeout + migration.TransferTime(*e, tokens, target.Server.Zone != source.Zone)
 	ctx, cancel := context.WithTimeout(ctx, min(cutoverTimeout, limit))
