End a leaving instance by the state of its connections

Cause: leave looked at the number of requests in progress each 50 ms, and closed everything once it was zero 2.5 s after SIGTERM. A request that came in after the look was run and cut. One whose body was being read, that waited in its socket or in the backlog of the listener, wasn't counted.

An instance now stops accepting first, and serves what waits in the backlog.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -239,8 +239,11 @@
 	defer cancel()
 	in.gossip.BroadcastLeaving()
 	in.origins.HandOver(ctx)
-	for objectapi.Sleep(ctx, leavePollInterval) == nil {
-		if in.server.Running() == 0 && in.dialPeer.Relayed() == 0 && time.Since(now) > minLeaveTime {
+	if objectapi.Sleep(ctx, time.Until(now.Add(minLeaveTime))) == nil {
+		in.server.StopAccepting()
+	}
+	for in.server.CloseIdle(time.Now()) > 0 || in.dialPeer.Relayed() > 0 {
+		if objectapi.Sleep(ctx, leavePollInterval) != nil {
 			break
 		}
 	}
