Don't give up a stream whose engine may go on before its caller would

Cause: the generation made no progress, and the engine answered the request to stop it for another engine with 404, as for one that it doesn't run at present. The engine's report had 6 to 8 running and 4 to 5 waiting ones. After 2.5 s such a stream was given up like one whose engine no longer knows it, though the run went on until its connection closed.

Without progress it is now given up once its caller would leave. One that the engine says it doesn't know, or whose events don't arrive, ends as before.

--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -244,6 +244,9 @@
 		return Move{Stop: p.mayStop(now) && !hangs, Reason: reason, Failing: failing}
 	case p.mayStop(now):
 		return Move{Stop: true, Reason: reason, Failing: failing}
+	case reason == ReasonNoProgress && now.Sub(p.Since) < p.LeavesAfter:
+		// The engine may be about to go on, for instance with a generation that it has preempted.
+		return p.waitOrProbe(now)
 	case now.Sub(p.Since) >= lostAfter && (!p.CanStop || p.Stop == StopRefused || p.Stop == StopUnknown):
 		return GiveUp{}
 	}
