Refuse what waited while its instance began to leave and won't end in time

What callers saw: nothing was reported. A request that waits for an engine when its instance is told to leave was placed as if the instance stayed, up to 1.8 s later, and was cut at the end of the grace period if it was long.

Cause: an instance that leaves refuses, as not run, what won't fit into its time, but looked only as a request came in.

It looks again before a request is sent to its first server.

Result: the case "instance leaves" of TestGenerationWaitsForMemory got 200 and a stream before, and gets 503, not run, now.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -127,6 +127,11 @@
 			s.endTrials(r, crashsuspect.TrialNotRun)
 			continue
 		}
+		if f := s.refuseWhileDraining(s.opts.Now(), r); f != nil && t.possibleRuns == 0 {
+			s.opts.Balancer.Release(place)
+			s.endTrials(r, crashsuspect.TrialNotRun)
+			return s.giveUp(c, r, t, f)
+		}
 		t.sentAt = s.opts.Now()
 		s.beginRun(r)
 		res := s.attempt(ctx, c, r, place, t)
--- a/internal/ingress/waiting_test.go
+++ b/internal/ingress/waiting_test.go
@@ -109,17 +109,19 @@
 }
 
 // Guards against a full engine whose callers are refused although they could wait, against a
-// generation that runs although its caller left while it waited, and against running a refused one.
+// generation that runs although its caller or this instance left while it waited, and against running a refused one.
 func TestGenerationWaitsForMemory(t *testing.T) {
 	tests := map[string]struct {
 		// generated is how far the generations that fill the engine are; they end at 600 to 800.
 		generated      int
 		freed, leaves  bool
+		drains         bool
 		status, ran    int
 		minRetrySecond float64
 	}{
 		"memory is freed":       {generated: 720, freed: true, status: 200, ran: 1},
 		"caller leaves":         {generated: 720, leaves: true},
+		"instance leaves":       {generated: 720, freed: true, drains: true, status: 503},
 		"no memory in the time": {generated: 10, status: 503, minRetrySecond: 1.5},
 	}
 	for name, tt := range tests {
@@ -134,6 +136,9 @@
 				req.Header.Set(name, value)
 			}
 			time.AfterFunc(300*time.Millisecond, func() {
+				if tt.drains {
+					f.Drain(f.clock.now())
+				}
 				if tt.freed {
 					free()
 				}
