Limit the wait for each read of a request, not the whole request

What callers would have seen: the transport on net.Conn takes the read timeout as a deadline for the whole request, so that a body that takes longer than 10 s is cut, and has none for the first request of a connection.

Cause: the transport before applied the timeout to each wait.

callerconn sets the deadline before each read of a request.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -305,3 +306,38 @@
 	require.ErrorAs(t, err, &netErr)
 	require.True(t, netErr.Timeout())
 }
+
+// Guards against requests that are cut though their callers go on sending, and against callers that
+// hold a connection without sending.
+func TestReadsAreLimited(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	pieces := []string{"POST /a HTTP/1.1\r\n", "Host: a\r\nContent-Length: 4\r\n\r\n", "1", "2", "3", "4"}
+	tests := map[string]struct {
+		pieces   int
+		answered bool
+	}{
+		"slow caller":           {len(pieces), true},
+		"silent from the start": {0, false},
+		"silent in the head":    {1, false},
+		"silent in the body":    {3, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, Options{ReadTimeout: timeout})
+			c := f.dial()
+			f.release <- struct{}{}
+			for _, piece := range pieces[:tt.pieces] {
+				c.send(piece)
+				time.Sleep(timeout / 2)
+			}
+			if tt.answered {
+				body, _ := c.receive()
+				require.Equal(t, "/a1234", body)
+				return
+			}
+			require.NoError(t, c.SetDeadline(time.Now().Add(testTimeout/2)))
+			_, err := io.Copy(io.Discard, c)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		})
+	}
+}
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -76,6 +76,9 @@
 	if c.handled {
 		c.busy, c.handled = false, false
 	}
+	if t := c.listener.opts.ReadTimeout; t > 0 && c.busy {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(t))
+	}
 	c.mu.Unlock()
 	return c.read(p, func(int) { c.busy, c.awaitedUntil = true, time.Time{} })
 }
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -52,8 +52,8 @@
 
 // Options configures a [Listener].
 type Options struct {
-	// ReadTimeout limits the time until the first request of a connection has been read. For later
-	// requests the HTTP library sets the limit.
+	// ReadTimeout limits the wait for the first byte of a new connection, and for further bytes of a
+	// request. The HTTP library limits the wait for later requests.
 	ReadTimeout time.Duration
 	// WriteTimeout limits each write to a caller that doesn't read.
 	WriteTimeout time.Duration
