Read the objects beside one that can't be decoded

What callers saw: with one odd entry among those of the servers, instances didn't follow the list any more: an added server got nothing, a removed one went on getting requests. Instances that started with the entry there knew no server and answered 503 to everything, until the entry was gone.

Cause: a page of a list, and the events of a watch, were decoded as a whole. A value nested 10,000 levels deep, Infinity, NaN or a control character in a text made the whole unreadable. A watch with such a response was moreover taken for one that had been cut off, and was repeated from the same version without a list.

Where the whole can't be decoded, its values are now split without decoding them, and each object is decoded on its own; the odd value is handed on and costs itself alone. A response that can't be read is an error of its own, after which a watch is followed by a list.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -272,7 +272,7 @@
 // Watch returns the changes to objects of a kind after a version, and waits for at most wait if
 // there are none. No events mean that nothing changed until the response. It returns [ErrWatchEnded]
 // if the platform cuts it off while it may wait; the changes since then are in the next watch after the
-// same version.
+// same version. After [ErrUnreadable] they are in a list only.
 func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error) {
 	var changes Changes
 	err := c.read(ctx, Operation{Op: opWatch, Kind: kind, After: after, Wait: wait}, func(body []byte) (err error) {
@@ -312,7 +312,7 @@
 	start := time.Now()
 	var exchange controlcost.Exchange
 	err := c.roundTrip(ctx, o, &exchange, decode)
-	if o.Wait > 0 && errors.Is(err, ErrUnknownOutcome) && ctx.Err() == nil {
+	if o.Wait > 0 && errors.Is(err, ErrUnknownOutcome) && !errors.Is(err, ErrUnreadable) && ctx.Err() == nil {
 		err = merry.Wrap(ErrWatchEnded, merry.AppendMessage(err.Error()))
 	}
 	if c.opts.OnCall != nil {
@@ -345,7 +345,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxAnswerBytes+1))
 	if err == nil && int64(len(body)) > c.opts.MaxAnswerBytes {
-		err = errTooLarge
+		err = merry.Wrap(ErrUnreadable, merry.AppendMessage("too large"))
 	}
 	if err != nil {
 		return c.noResponse(true, err)
@@ -378,6 +378,9 @@
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated:
 		if err := decode(body); err != nil {
+			if len(body) > 0 {
+				err = merry.Wrap(ErrUnreadable, merry.WithCause(err))
+			}
 			return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 		}
 		return nil
--- a/internal/objectapi/codec.go
+++ b/internal/objectapi/codec.go
@@ -81,17 +81,26 @@
 
 func (defaultCodec) DecodeObject(_ string, body []byte) (Object, error) {
 	var o Object
-	return o, json.Unmarshal(body, &o)
+	if json.Unmarshal(body, &o) != nil {
+		return salvageObject(body)
+	}
+	return o, nil
 }
 
 func (defaultCodec) DecodePage(_ string, body []byte) (Page, error) {
 	var p Page
-	return p, json.Unmarshal(body, &p)
+	if json.Unmarshal(body, &p) != nil {
+		return salvagePage(body)
+	}
+	return p, nil
 }
 
 func (defaultCodec) DecodeChanges(_ string, body []byte) (Changes, error) {
 	var c Changes
-	return c, json.Unmarshal(body, &c)
+	if json.Unmarshal(body, &c) != nil {
+		return salvageChanges(body)
+	}
+	return c, nil
 }
 
 func (defaultCodec) IsConflict(status int) bool { return status == http.StatusPreconditionFailed }
--- a/internal/objectapi/errors.go
+++ b/internal/objectapi/errors.go
@@ -23,14 +23,14 @@
 	// ErrUnknownOutcome means that the response to a write was lost: it may have taken effect, or
 	// may still do so later.
 	ErrUnknownOutcome = merry.Sentinel("outcome of the write unknown")
+	// ErrUnreadable means that the platform answered, and that the response is too large or can't be
+	// decoded: the same call would fail again. It is the cause of another error of this package.
+	ErrUnreadable = merry.Sentinel("response can't be read")
 	// ErrRefused means that the platform rejects the call as invalid, for example because its
 	// value is too large. It had no effect.
 	ErrRefused = merry.Sentinel("platform refused the call")
 )
 
-// errTooLarge means that a response exceeds the limit.
-var errTooLarge = merry.Sentinel("response too large")
-
 // ConflictError means that the condition of a write was not met. The write had no effect.
 type ConflictError struct {
 	// Current is the existing object; its Version is 0 if there is none.
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -258,7 +258,7 @@
 			continue
 		}
 		cuts.Ended()
-		if errors.Is(err, objectapi.ErrCompacted) {
+		if errors.Is(err, objectapi.ErrCompacted) || errors.Is(err, objectapi.ErrUnreadable) {
 			f.callSucceeded(start)
 			return true
 		}
