Log an object that can't be decoded once

Operators saw the line of an invalid entry of a server again with each list, three to five times in the seconds of a test on; each list decoded and logged it anew. The same held for rollouts and configurations.

Objects that are invalid are now remembered by name until they are valid or gone, and logged when they become invalid. A list that is older than the change of an object doesn't make it forgotten.

--- a/internal/platformstate/apply.go
+++ b/internal/platformstate/apply.go
@@ -57,9 +57,12 @@
 	}
 	cfg, err := f.opts.Dialect.DecodeConfiguration(value)
 	if err != nil {
-		f.opts.Log.Error().Err(err).Str("source", source).Msg("invalid configuration, the previous one stays in force")
+		if f.invalidConfigurations.add(source, 0) {
+			f.opts.Log.Error().Err(err).Str("source", source).Msg("invalid configuration, the previous one stays in force")
+		}
 		return
 	}
+	f.invalidConfigurations.remove(source)
 	if f.opts.State.Configure(now, cfg, value) {
 		f.opts.Log.Info().Int64("version", cfg.Version).Str("source", source).Int("routes", len(cfg.Routes)).Msg("configuration in force")
 	}
@@ -73,6 +76,7 @@
 	before := f.revisions
 	f.mu.Unlock()
 	revisions := make(map[string]int64, len(before))
+	invalid := map[string]bool{}
 	version, err := f.opts.Objects.ListPages(ctx, f.opts.Dialect.Kinds.Servers, func(page []objectapi.Object) {
 		list = slices.Grow(list, len(page))
 		for _, o := range page {
@@ -83,9 +87,14 @@
 			if ok {
 				list = append(list, s)
 				revisions[strings.Clone(o.Name)] = o.Version
+			} else {
+				invalid[strings.Clone(o.Name)] = true
 			}
 		}
 	})
+	if err == nil {
+		f.invalidServers.retain(version, invalid)
+	}
 	f.mu.Lock()
 	f.revisions = revisions
 	f.mu.Unlock()
@@ -110,6 +119,8 @@
 			if s, ok := f.server(e.Object); ok {
 				c.Server = &s
 			}
+		} else {
+			f.invalidServers.remove(e.Object.Name)
 		}
 		line := f.opts.Log.Info().Str("server", c.ID).Int64("version", to).Bool("listed", c.Server != nil)
 		if c.Server != nil {
@@ -124,22 +135,30 @@
 func (f *Follower) server(o objectapi.Object) (dialect.Server, bool) {
 	s, err := f.opts.Dialect.DecodeServer(o.Name, o.Value)
 	if err != nil {
-		f.opts.Log.Warn().Str("server", o.Name).Err(err).Msg("invalid entry of a backend server")
+		if f.invalidServers.add(o.Name, o.Version) {
+			f.opts.Log.Warn().Str("server", o.Name).Err(err).Msg("invalid entry of a backend server")
+		}
 		return s, false
 	}
+	f.invalidServers.remove(o.Name)
 	return s, true
 }
 
 func (f *Follower) replaceRollouts(now time.Time, version int64, objects []objectapi.Object) {
 	list := make([]dialect.Rollout, 0, len(objects))
+	invalid := map[string]bool{}
 	for _, o := range objects {
 		r, err := f.opts.Dialect.DecodeRollout(o)
 		if err != nil {
-			f.opts.Log.Warn().Str("rollout", o.Name).Err(err).Msg("invalid rollout")
+			invalid[o.Name] = true
+			if f.invalidRollouts.add(o.Name, o.Version) {
+				f.opts.Log.Warn().Str("rollout", o.Name).Err(err).Msg("invalid rollout")
+			}
 			continue
 		}
 		list = append(list, r)
 	}
+	f.invalidRollouts.retain(version, invalid)
 	before := f.opts.State.ContentHash(Rollouts)
 	if !f.opts.State.ReplaceRollouts(now, version, list) || f.opts.State.ContentHash(Rollouts) == before {
 		return
--- a/internal/platformstate/follow.go
+++ b/internal/platformstate/follow.go
@@ -88,6 +88,8 @@
 type Follower struct {
 	opts    Options
 	started time.Time
+	// invalidServers, invalidRollouts and invalidConfigurations hold the objects that can't be decoded.
+	invalidServers, invalidRollouts, invalidConfigurations invalidObjects
 
 	mu sync.Mutex
 	// revisions holds the revision of each server in the last list. The map doesn't change.
