--- a/internal/suspectobjects/suspectobjects.go
+++ b/internal/suspectobjects/suspectobjects.go
@@ -39,11 +39,15 @@
 	// changeDelay is the time in which changes are collected for one write.
 	changeDelay = 30 * time.Millisecond
 	// sweepInterval is the time between two searches for objects to delete.
-	sweepInterval        = 30 * time.Second
-	minBackoff           = 100 * time.Millisecond
-	maxBackoff           = 5 * time.Second
-	callTimeout          = time.Second
-	fingerprintBase      = 16
+	sweepInterval   = 30 * time.Second
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 5 * time.Second
+	callTimeout     = time.Second
+	fingerprintBase = 16
+	// maxClockSkew is how far the clock of another instance may be ahead; maxNameBytes limits the names of
+	// crashes.
+	maxClockSkew         = time.Minute
+	maxNameBytes         = 1024
 	maxConflictsInARow   = 3
 	changeSignalCapacity = 1
 )
@@ -158,7 +162,7 @@
 	var entries []crashsuspect.Entry
 	for _, o := range objects {
 		var e crashsuspect.Entry
-		if err := json.Unmarshal(o.Value, &e); err != nil || objectName(e.Fingerprint) != o.Name {
+		if err := json.Unmarshal(o.Value, &e); err != nil || objectName(e.Fingerprint) != o.Name || !plausible(k.opts.Now(), e) {
 			k.opts.Log.Warn().Str("object", o.Name).Err(err).Msg("object with a crash suspect can't be read")
 			continue
 		}
@@ -168,6 +172,15 @@
 	return entries
 }
 
+// plausible reports whether an instance may have written an entry: one from the future would never
+// expire, and the names of crashes are passed on to all instances.
+func plausible(now time.Time, e crashsuspect.Entry) bool {
+	latest := now.Add(maxClockSkew)
+	return !e.ClearedAt.After(latest) && !e.RefusedAt.After(latest) && !slices.ContainsFunc(e.Crashes, func(c crashsuspect.Crash) bool {
+		return c.At.After(latest) || len(c.Name) > maxNameBytes
+	})
+}
+
 func objectName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, fingerprintBase) }
 
 // store writes the objects of entries that have changed, and deletes those of others.
