Read bodies of answers here, not in the codec

Callers saw a 200 for answers whose last chunk was there but whose trailers had broken off (closed or reset after "0\r\n"), and a 502 for complete answers: streamed ones with a length of more than some kilobytes and bytes after them, chunks with an extension, and answers to HEAD that were requested as a stream.

Cause: the codec takes the end of a connection for the end of trailers, passes its whole buffer on when it reads a body with a length, knows no chunk extensions, and isn't told that the answer to a streamed HEAD has no body.

All bodies are read by one reader for each framing: length, chunks, end of the connection. Each says io.EOF only once its own framing has ended.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -1,7 +1,8 @@
 // Package httpclient does HTTP/1.1 exchanges with backend servers and, if one fails, says whether
 // bytes of the request had left. It is built from the codec and the connections of hertz. The hertz
 // client itself is unsuitable, because it repeats some requests on its own and can't be interrupted
-// before the response headers have arrived.
+// before the response headers have arrived. The codec writes requests and parses heads; bodies
+// are read here, so that the end of a connection is never taken for the end of an answer that has another.
 //
 // # Usage
 //
@@ -21,7 +22,6 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	reqcodec "github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	respcodec "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
 // The kinds of failure of an exchange.
@@ -173,30 +173,25 @@
 	if err := r.conn.Flush(); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
-	r.conn.maxHeld = maxHeadBytes
 	if err := r.readHead(); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
-	if call.Stream {
-		return r.openBody()
-	}
 	r.SkipBody = req.Header.IsHead()
-	if call.MaxBuffered > 0 && !r.SkipBody && !hasNoBody(r.StatusCode()) && !r.isShort(call.MaxBuffered) {
-		return r.openBody()
+	r.openBody()
+	if r.body == nil {
+		r.releaseConn(r.ConnectionClose())
+		return nil
+	}
+	if call.Stream || call.MaxBuffered > 0 && !r.isShort(call.MaxBuffered) {
+		r.stream = true
+		return nil
 	}
-	if !r.SkipBody && r.Header.ContentLength() > c.opts.MaxResponseBytes {
+	if r.Header.ContentLength() > c.opts.MaxResponseBytes {
 		return merry.Wrap(ErrTooLarge)
 	}
-	if r.IsCloseDelimited() {
-		err := r.readCloseDelimited(c.opts.MaxResponseBytes)
-		r.releaseConn(true)
+	if err := r.hold(c.opts.MaxResponseBytes); err != nil {
 		return err
 	}
-	// The codec may peek at all of a body that isn't streamed.
-	r.conn.maxHeld = max(maxHeadBytes, c.opts.MaxResponseBytes)
-	if err := respcodec.ReadRespBody(r.Response, r.conn, c.opts.MaxResponseBytes); err != nil {
-		return classifyReadError(err)
-	}
-	r.releaseConn(r.ConnectionClose())
+	r.releaseConn(r.mustClose())
 	return nil
 }
--- /dev/null
+++ b/internal/httpclient/cut_answer_test.go
@@ -0,0 +1,110 @@
+package httpclient
+
+import (
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/test/cutanswer"
+)
+
+// exchange sends a request and reads its answer to the end, as the options of the call say.
+func exchange(t *testing.T, c *Client, address, method string, call Call) (status int, body string, err error) {
+	r := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(r)
+	r.SetMethod(method)
+	r.Header.SetHost(address)
+	r.SetRequestURI("/")
+	resp, err := c.Do(t.Context(), address, r, call)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Close()
+	if !resp.Streamed() {
+		return resp.StatusCode(), string(resp.Bytes()), nil
+	}
+	read, err := io.ReadAll(resp.Body())
+	return resp.StatusCode(), string(read), err
+}
+
+// calls are the ways to read an answer.
+var calls = map[string]Call{
+	"held": {SingleUse: true}, "pooled": {}, "streamed": {SingleUse: true, Stream: true}, "held if short": {SingleUse: true, MaxBuffered: 4},
+}
+
+// Guards against answers that were cut anywhere, also in their heads, and look whole.
+func TestOnlyWholeAnswersSucceed(t *testing.T) {
+	const body = "twelve bytes"
+	answers := cutanswer.Answers("X-Field: value\r\n", body)
+	const long = "length, long field"
+	answers[long] = cutanswer.Answers("X-Long: "+strings.Repeat("x", 4<<10)+"\r\n", body)["length last"]
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := cutanswer.New(answer, "X-Id")
+			h := httptest.NewServer(server)
+			defer h.Close()
+			for callName, call := range calls {
+				for end, endName := range map[cutanswer.End]string{cutanswer.Close: "closed", cutanswer.Reset: "reset", cutanswer.Late: "goes on"} {
+					for n := range answer.Len("") + 1 {
+						if name == long && n%64 > 0 && n < answer.Len("")-64 {
+							continue
+						}
+						server.Cut(n, end)
+						sent := n
+						if end == cutanswer.Late {
+							sent = answer.Len("")
+						}
+						c := New(Options{})
+						status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), answer.Method, call)
+						c.Close()
+						switch {
+						case answer.Whole(sent, "") && end != cutanswer.Reset:
+							require.NoError(t, err, "%s, %s after %d bytes", callName, endName, n)
+							require.Equal(t, answer.Status, status)
+							require.Equal(t, answer.Body(sent, "", body), got, "%s, %s after %d bytes", callName, endName, n)
+						case n < answer.Len("") || answer.Unframed:
+							require.ErrorIs(t, err, ErrUnknownOutcome, "%s, %s after %d bytes: status %d, body %q", callName, endName, n, status, got)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against bytes after an answer that are taken for a part of it, or for the answer to the next request.
+func TestBytesAfterAnswerAreDropped(t *testing.T) {
+	for bodyName, body := range map[string]string{"short": "twelve bytes", "long": strings.Repeat("x", 40<<10)} {
+		for name, answer := range cutanswer.Answers("X-Field: value\r\n", body) {
+			if answer.Unframed {
+				continue
+			}
+			t.Run(bodyName+", "+name, func(t *testing.T) {
+				t.Parallel()
+				want := answer.Body(0, "", body)
+				answer.Framed += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+				h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
+				defer h.Close()
+				c := New(Options{})
+				defer c.Close()
+				for callName, call := range calls {
+					if callName == "pooled" && bodyName == "long" {
+						// Bytes that arrive later are found by nobody.
+						continue
+					}
+					for range 2 {
+						status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), answer.Method, call)
+						require.NoError(t, err, callName)
+						require.Equal(t, answer.Status, status, callName)
+						require.True(t, got == want, "%s: %d bytes, %d wanted", callName, len(got), len(want))
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -8,9 +8,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	respcodec "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
 // Response is the response to one exchange. Close must be called once, by the goroutine that reads.
@@ -23,25 +21,19 @@
 	abort     context.CancelFunc
 	stream    bool
 	singleUse bool
-	// chunked is the streamed body if it is chunked.
-	chunked *chunkedBody
+	// body is nil if the response has none.
+	body io.Reader
 }
 
-// forceCloser is implemented by the codec's body streams, to close them unread.
-type forceCloser interface{ ForceClose() error }
-
 // Bytes returns the complete body of a response that was not streamed. It is valid until Close.
 func (r *Response) Bytes() []byte { return r.Response.Body() }
 
 // Body returns the body of a response that was requested with [Call.Stream].
 func (r *Response) Body() io.Reader {
-	if r.IsCloseDelimited() {
-		return closeDelimitedBody{r.conn}
-	}
-	if r.chunked != nil {
-		return r.chunked
+	if r.body == nil {
+		return http.NoBody
 	}
-	return r.BodyStream()
+	return r.body
 }
 
 // codecIdentity is the content length with which the codec marks a close-delimited body.
@@ -80,19 +72,50 @@
 	return n, err
 }
 
-// readCloseDelimited reads a complete body that ends with its connection.
-func (r *Response) readCloseDelimited(limit int) error {
-	body, err := io.ReadAll(io.LimitReader(closeDelimitedBody{r.conn}, int64(limit)+1))
+// lengthBody is a body of known length; left is the number of bytes that weren't read yet. The codec reads on into
+// what follows.
+type lengthBody struct {
+	conn io.Reader
+	left int
+}
+
+// Read implements io.Reader; io.EOF means that the body is complete.
+func (b *lengthBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.conn.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	switch {
+	case b.left == 0:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		err = merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
+	}
+	return n, err
+}
+
+// hold reads the complete body.
+func (r *Response) hold(limit int) error {
+	n, err := r.BodyBuffer().ReadFrom(io.LimitReader(r.body, int64(limit)+1))
 	switch {
 	case err != nil:
 		return err
-	case len(body) > limit:
+	case n > int64(limit):
 		return merry.Wrap(ErrTooLarge)
 	}
-	r.SetBody(body)
 	return nil
 }
 
+// mustClose reports whether the connection can't be used any more after the complete body.
+func (r *Response) mustClose() bool {
+	chunked, ok := r.body.(*chunkedBody)
+	return r.ConnectionClose() || r.IsCloseDelimited() || ok && chunked.conn.Buffered() > 0
+}
+
 // Close releases the response. If the body was not read to its end, the connection is closed, which
 // tells the server that the response is no longer read.
 func (r *Response) Close() {
@@ -100,18 +123,7 @@
 		return
 	}
 	if r.stream {
-		// The codec would read a streamed body to its end to reuse the connection; the end of a
-		// generation can be minutes away.
 		r.conn.Close()
-		if r.IsCloseDelimited() || r.chunked != nil {
-			r.stream = false
-			r.release()
-			return
-		}
-		if body, ok := r.BodyStream().(forceCloser); ok {
-			_ = body.ForceClose()
-		}
-		_ = r.CloseBodyStream()
 		r.stream = false
 	}
 	r.release()
@@ -128,33 +140,24 @@
 		return
 	}
 	var rest [1]byte
-	if _, err := r.Body().Read(rest[:]); !errors.Is(err, io.EOF) {
+	if _, err := r.body.Read(rest[:]); !errors.Is(err, io.EOF) {
 		return
 	}
 	r.stream = false
-	closing := r.ConnectionClose() || r.chunked != nil && r.chunked.conn.Buffered() > 0
-	if err := r.CloseBodyStream(); err != nil {
-		closing = true
-	}
-	closing = closing || r.conn.SetReadTimeout(0) != nil
-	r.releaseConn(closing)
+	r.releaseConn(r.mustClose() || r.conn.SetReadTimeout(0) != nil)
 }
 
-func (r *Response) openBody() error {
-	if r.IsCloseDelimited() {
-		r.stream = true
-		return nil
-	}
-	if r.Header.ContentLength() == codecChunked && !r.SkipBody && !hasNoBody(r.StatusCode()) {
-		r.chunked, r.stream = newChunkedBody(r.conn), true
-		return nil
+// openBody sets the body, as the head says.
+func (r *Response) openBody() {
+	switch n := r.Header.ContentLength(); {
+	case r.SkipBody || hasNoBody(r.StatusCode()):
+	case n == codecIdentity:
+		r.body = closeDelimitedBody{r.conn}
+	case n == codecChunked:
+		r.body = newChunkedBody(r.conn)
+	default:
+		r.body = &lengthBody{r.conn, n}
 	}
-	err := respcodec.ReadRespBodyStream(r.Response, r.conn, 0, func(bool) error { return nil })
-	if err != nil {
-		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
-	}
-	r.stream = r.IsBodyStream()
-	return nil
 }
 
 // releaseConn returns the connection to the pool, or closes it.
@@ -181,13 +184,6 @@
 	}
 }
 
-func classifyReadError(err error) error {
-	if errors.Is(err, herrors.ErrBodyTooLarge) {
-		return merry.Wrap(ErrTooLarge, merry.WithCause(err))
-	}
-	return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
-}
-
 // Abort closes the connection from another goroutine, which interrupts a pending read. Close must
 // still be called.
 func (r *Response) Abort() { r.abort() }
@@ -199,7 +195,7 @@
 		return r.Bytes(), nil
 	}
 	limit := r.client.opts.MaxResponseBytes
-	body, err := io.ReadAll(io.LimitReader(r.Body(), int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(r.body, int64(limit)+1))
 	switch {
 	case err != nil:
 		return nil, merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
