Parse heads of answers only once they are complete

Callers saw a 200 with an empty or short body, framed as whole: from a server that closed its connection inside a head with a folded line ("X-Folded: a\r\n b\r", 35 bytes), direct and through another instance. Complete answers with such a line came with a body that was shifted by some bytes. A head with two different lengths gave a body of the last one; one with "Content-Length : 2", "HTTP/1. 200" or "ICY 200" was taken for an answer that ends with its connection.

Cause: the codec parses what has arrived of a head again with each read, unfolds lines in the buffer that it parses, which moves the bytes after them, and takes the changed buffer for the head at its next look. Nothing checked that the fields that frame an answer say one thing.

A head is now looked for up to its empty line first; the end of the connection before is an error. The codec gets a copy in which folded lines have been joined without changing its length, and nothing else of the connection. Heads with lengths that differ, other codings than chunked, blanks in names of fields or no HTTP status line fail the exchange, whose outcome is then unknown.

--- a/internal/dialpeer/dialpeer.go
+++ b/internal/dialpeer/dialpeer.go
@@ -35,7 +35,6 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	reqcodec "github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	respcodec "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -227,7 +226,7 @@
 		if err := conn.Flush(); err != nil {
 			return err
 		}
-		return respcodec.ReadHeaders(resp, httpclient.LimitHead(conn))
+		return httpclient.ReadHead(resp, conn)
 	}
 	if err := exchange(); err != nil {
 		return merry.Wrap(ErrPeer, merry.WithCause(err))
--- a/internal/dialpeer/dialpeer_test.go
+++ b/internal/dialpeer/dialpeer_test.go
@@ -25,6 +25,7 @@
 	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/peer"
 	"pollenspindle.example/pollenspindle/internal/serverlink"
+	"pollenspindle.example/pollenspindle/test/cutanswer"
 )
 
 const timeout = 500 * time.Millisecond
@@ -218,3 +219,35 @@
 	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
 	require.Zero(t, accepted.Load())
 }
+
+// Guards against answers that were cut anywhere and look whole behind another instance.
+func TestRelayedCutAnswers(t *testing.T) {
+	const body = "twelve bytes"
+	for name, answer := range cutanswer.Answers("X-Field: value\r\n", body) {
+		if answer.Method != http.MethodPost {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := cutanswer.New(answer, "X-Id")
+			h := httptest.NewServer(server)
+			t.Cleanup(h.Close)
+			relay, _ := newPeer(t, "relay")
+			client, _ := newPeer(t, "client")
+			through := serve(t, relay)
+			for _, end := range []cutanswer.End{cutanswer.Close, cutanswer.Reset} {
+				for n := range answer.Len("") + 1 {
+					server.Cut(n, end)
+					got, err := exchange(t, client, through, strings.TrimPrefix(h.URL, "http://"))
+					switch {
+					case answer.Whole(n, "") && end == cutanswer.Close:
+						require.NoError(t, err, "after %d bytes", n)
+						require.Equal(t, answer.Body(n, "", body), got)
+					case n < answer.Len("") || answer.Unframed:
+						require.ErrorIs(t, err, httpclient.ErrUnknownOutcome, "after %d bytes: %q", n, got)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -1,7 +1,7 @@
 // Package httpclient does HTTP/1.1 exchanges with backend servers and, if one fails, says whether
 // bytes of the request had left. It is built from the codec and the connections of hertz. The hertz
 // client itself is unsuitable, because it repeats some requests on its own and can't be interrupted
-// before the response headers have arrived. The codec writes requests and parses heads; bodies
+// before the response headers have arrived. The codec writes requests and parses complete heads; bodies
 // are read here, so that the end of a connection is never taken for the end of an answer that has another.
 //
 // # Usage
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{limitedConn: &limitedConn{conn, maxHeadBytes}}, nil
+	return &pooledConn{Conn: conn}, nil
 }
 
 func (c *Client) exchange(r *Response, req *protocol.Request, call Call) error {
--- a/internal/httpclient/cut_answer_test.go
+++ b/internal/httpclient/cut_answer_test.go
@@ -108,3 +108,42 @@
 		}
 	}
 }
+
+// Guards against heads whose framing is in doubt and is guessed.
+func TestAmbiguousHeadsFail(t *testing.T) {
+	for name, head := range map[string]string{
+		"two lengths":              "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\n",
+		"list of lengths":          "HTTP/1.1 200 OK\r\nContent-Length: 4, 2\r\n\r\n",
+		"negative length":          "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"length is no number":      "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+		"length with a sign":       "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\n",
+		"length over 64 bits":      "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"empty length":             "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n",
+		"space in a name":          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n",
+		"unknown coding":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+		"coding broken off":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chu\r\n\r\n",
+		"line without a colon":     "HTTP/1.1 200 OK\r\nContent-Length\r\n\r\n",
+		"line of a return":         "HTTP/1.1 200 OK\r\n\r\r\nContent-Length: 2\r\n\r\n",
+		"two codings":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"list of codings":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+		"folded lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n 2\r\n\r\n",
+		"no name":                  "HTTP/1.1 200 OK\r\n: 2\r\n\r\n",
+		"status line without code": "HTTP/1.1\r\n\r\n",
+		"status of two digits":     "HTTP/1.1 20\r\n\r\n",
+		"status is no number":      "HTTP/1.1 2xx OK\r\n\r\n",
+		"other protocol":           "ICY 200 OK\r\n\r\n",
+		"version broken off":       "HTTP/1. 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := httptest.NewServer(cutanswer.New(cutanswer.Answer{Head: head, Framed: "body"}, "X-Id"))
+			defer h.Close()
+			c := New(Options{})
+			defer c.Close()
+			for callName, call := range calls {
+				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), "POST", call)
+				require.ErrorIs(t, err, ErrUnknownOutcome, "%s: status %d, body %q", callName, status, got)
+			}
+		})
+	}
+}
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -1,10 +1,16 @@
 package httpclient
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"net/http"
+	"regexp"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	respcodec "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
@@ -14,10 +20,16 @@
 // maxInterimAnswers limits the interim answers (RFC 9110, 15.2) before an answer.
 const maxInterimAnswers = 8
 
+// errMalformedHead means that a head doesn't say for certain where its answer ends.
+var errMalformedHead = merry.Sentinel("head of the response is malformed")
+
+// statusLine is the beginning of a status line.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-9][0-9][0-9]( |$)`)
+
 // readHead reads the head of the answer, and skips interim ones.
 func (r *Response) readHead() error {
 	for range maxInterimAnswers {
-		if err := respcodec.ReadHeaders(r.Response, r.conn); err != nil {
+		if err := ReadHead(r.Response, r.conn); err != nil {
 			return err
 		}
 		if status := r.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
@@ -28,19 +40,146 @@
 	return merry.Wrap(ErrTooLarge)
 }
 
-// limitedConn is a connection that holds only so many bytes that the codec hasn't taken yet.
-type limitedConn struct {
-	network.Conn
-	maxHeld int
+// ReadHead reads one head of at most 64 KiB, an interim one too. The codec gets a copy of a complete head: it
+// takes the beginning of one with folded lines for all of it, and changes the bytes that it has read.
+func ReadHead(resp *protocol.Response, conn network.Reader) error {
+	head, err := peekHead(conn)
+	if err != nil {
+		return err
+	}
+	unread := &headReader{rest: unfold(head)}
+	if err := checkHead(unread.rest); err != nil {
+		return err
+	}
+	if err := conn.Skip(len(head)); err != nil {
+		return err
+	}
+	if err := conn.Release(); err != nil {
+		return err
+	}
+	if err := respcodec.ReadHeader(&resp.Header, unread); err != nil {
+		return err
+	}
+	if unread.Len() > 0 {
+		return merry.Wrap(errMalformedHead)
+	}
+	return nil
 }
 
-// LimitHead returns a connection on which the codec fails to read a head, or trailers, of more than 64 KiB.
-func LimitHead(conn network.Conn) network.Conn { return &limitedConn{conn, maxHeadBytes} }
+// peekHead returns the bytes up to the empty line that ends a head, without consuming them. They are valid until
+// the next read.
+func peekHead(conn network.Reader) ([]byte, error) {
+	line, begun := 0, false
+	for size := 1; size <= maxHeadBytes; size = max(size+1, min(conn.Len(), maxHeadBytes)) {
+		held, err := conn.Peek(size)
+		if errors.Is(err, io.EOF) && size > 1 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		for n := bytes.IndexByte(held[line:], '\n'); n >= 0; n = bytes.IndexByte(held[line:], '\n') {
+			empty := len(bytes.TrimSuffix(held[line:line+n], []byte{'\r'})) == 0
+			line += n + 1
+			if empty && begun {
+				return held[:line], nil
+			}
+			begun = begun || !empty
+		}
+	}
+	return nil, merry.Wrap(ErrTooLarge)
+}
 
-// Peek implements network.Reader. The codec peeks at all of a head, and reads on until it is complete.
-func (c *limitedConn) Peek(n int) ([]byte, error) {
-	if n > c.maxHeld && n > c.Len() {
-		return nil, merry.Wrap(ErrTooLarge)
+// unfold returns a copy of a head in which lines that continue a field are part of its line (RFC 9112, 5.2).
+func unfold(head []byte) []byte {
+	lines := bytes.Clone(head)
+	for i := 0; i+1 < len(lines); i++ {
+		if lines[i] != '\n' || lines[i+1] != ' ' && lines[i+1] != '\t' {
+			continue
+		}
+		lines[i] = ' '
+		if i > 0 && lines[i-1] == '\r' {
+			lines[i-1] = ' '
+		}
 	}
-	return c.Conn.Peek(n)
+	return lines
 }
+
+// checkHead fails if fields that say where an answer ends can be read in several ways: the codec takes the last of
+// two lengths, and takes a field with a blank in its name for another one.
+func checkHead(head []byte) error {
+	length, coding, begun := "", "", false
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0:
+			continue
+		case !begun && !statusLine.Match(line):
+			return merry.Wrap(errMalformedHead)
+		case !begun:
+			begun = true
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		text := string(bytes.Trim(value, " \t"))
+		switch {
+		case !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r"):
+			return merry.Wrap(errMalformedHead)
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			if strings.Trim(text, "0123456789") != "" || length != "" && length != text {
+				return merry.Wrap(errMalformedHead)
+			}
+			length = text
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if !strings.EqualFold(text, "chunked") || coding != "" {
+				return merry.Wrap(errMalformedHead)
+			}
+			coding = text
+		}
+	}
+	return nil
+}
+
+// headReader has the rest of a head for the codec.
+type headReader struct{ rest []byte }
+
+// Len implements [network.Reader].
+func (r *headReader) Len() int { return len(r.rest) }
+
+// Peek implements [network.Reader].
+func (r *headReader) Peek(n int) ([]byte, error) {
+	if n > len(r.rest) {
+		return r.rest, io.ErrUnexpectedEOF
+	}
+	return r.rest[:n], nil
+}
+
+// Skip implements [network.Reader].
+func (r *headReader) Skip(n int) error {
+	if n > len(r.rest) {
+		return io.ErrUnexpectedEOF
+	}
+	r.rest = r.rest[n:]
+	return nil
+}
+
+// ReadByte implements [network.Reader].
+func (r *headReader) ReadByte() (byte, error) {
+	b, err := r.ReadBinary(1)
+	if err != nil {
+		return 0, err
+	}
+	return b[0], nil
+}
+
+// ReadBinary implements [network.Reader].
+func (r *headReader) ReadBinary(n int) ([]byte, error) {
+	b, err := r.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	return b, r.Skip(n)
+}
+
+// Release implements [network.Reader].
+func (r *headReader) Release() error { return nil }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -3,11 +3,13 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
 )
 
 // pooledConn is a connection with the time at which it became idle.
 type pooledConn struct {
-	*limitedConn
+	network.Conn
 	idleSince time.Time
 }
 
--- a/test/cutanswer/cutanswer.go
+++ b/test/cutanswer/cutanswer.go
@@ -158,6 +158,8 @@
 		"length, small letters":      {Head: ok + fields + strings.ToLower(length) + "\r\n", Framed: body},
 		"length, after 100":          {Head: "HTTP/1.1 100 Continue\r\n\r\n" + ok + fields + length + "\r\n", Framed: body},
 		"length, after 103":          {Head: hints + hints + ok + fields + length + "\r\n", Framed: body},
+		"length, folded field":       {Head: ok + "X-Folded: a\r\n  b\r\n\tc\r\n" + fields + length + "\r\n", Framed: body},
+		"length, folded last":        {Head: ok + fields + length + "X-Folded: a\r\n b\r\n\r\n", Framed: body},
 		"length, empty fields":       {Head: ok + "X-Empty:\r\n" + fields + length + "X-Blank: \t \r\n\r\n", Framed: body},
 		"no content":                 {Head: "HTTP/1.1 204 No Content\r\n" + fields + "\r\n", Status: http.StatusNoContent},
 		"not modified":               {Head: "HTTP/1.1 304 Not Modified\r\n" + fields + length + "\r\n", Status: http.StatusNotModified},
