Pass on the body of an answer to a streaming request with a status other than 200

Callers saw an empty body, framed as whole, when a server answered a streaming request with 201, 202 or 206; the body was dropped.

Cause: the client left the body of each status below 300 to be read as a stream, but only an answer with status 200 is one.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -123,7 +123,7 @@
 // Close closes the client.
 func (c *Client) Close() { c.http.Close() }
 
-// Do sends a request. With stream, the body of a successful response is left to be read by the
+// Do sends a request. With stream, the body of a response with status 200 is left to be read by the
 // caller; every other response is read completely, or as far as there is memory for its body.
 func (c *Client) Do(ctx context.Context, address string, req Request, stream bool) (*Response, error) {
 	r := encode(address, req)
@@ -134,7 +134,7 @@
 	}
 	response := &Response{Status: resp.StatusCode(), Header: responseHeader(resp), resp: resp, memory: c.memory}
 	switch {
-	case stream && response.Status < http.StatusMultipleChoices:
+	case stream && response.Status == http.StatusOK:
 		return response, nil
 	case !resp.Streamed():
 		response.Body = append([]byte(nil), resp.Bytes()...)
