Refuse handshakes before the last look at the backlog

What callers would have seen: a connection that the system completed between the last look at the backlog and the close of the listener was reset, though a whole request may have been sent on it.

Cause: the look and the close are two steps. The system now drops packets that begin a connection first, and the listener accepts for another 50 ms. Accept4 and a duplicate descriptor aren't needed any more, nor is the backlog dropped if descriptors lack.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -48,6 +48,8 @@
 	// the lack of file descriptors.
 	minAcceptBackoff = 5 * time.Millisecond
 	maxAcceptBackoff = time.Second
+	// handshakeTimeout is how long a listener that stops waits for handshakes that have begun.
+	handshakeTimeout = 50 * time.Millisecond
 )
 
 // Options configures a [Listener].
@@ -66,6 +68,7 @@
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
+	tcp      *net.TCPListener
 	socket   syscall.RawConn
 	opts     Options
 	draining atomic.Bool
@@ -91,7 +94,7 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	return &Listener{Listener: l, socket: socket, opts: opts, conns: map[*Conn]struct{}{}}, nil
+	return &Listener{Listener: l, tcp: tcp, socket: socket, opts: opts, conns: map[*Conn]struct{}{}}, nil
 }
 
 type connKey struct{}
@@ -165,8 +168,6 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil, err
 			}
-		case l.stopping.Load() || errors.Is(err, net.ErrClosed):
-			return nil, net.ErrClosed
 		case !passes(err):
 			return nil, err
 		default:
@@ -183,46 +184,31 @@
 			return true
 		}
 	}
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	return false
 }
 
-// accept returns the next connection. Once the listener stops, it returns those that wait in the
-// backlog and then closes the listener.
+// accept returns the next connection. Once the listener stops, it closes the listener after the last
+// connection of the backlog.
 func (l *Listener) accept() (net.Conn, error) {
-	if !l.stopping.Load() {
+	for {
 		conn, err := l.Listener.Accept()
-		if err == nil || !l.stopping.Load() {
+		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
+		// A process that stood still has a deadline that is over before Accept looks.
+		if !hasWaiting(l.socket) {
+			_ = l.Listener.Close()
+			return nil, net.ErrClosed
+		}
+		if err := l.limitAccept(); err != nil {
+			return nil, err
+		}
 	}
-	conn, err := l.acceptWaiting()
-	if err != nil || conn == nil {
-		_ = l.Listener.Close()
-		return nil, net.ErrClosed
-	}
-	return conn, nil
 }
 
-// acceptWaiting returns a connection of the backlog, nil if there is none.
-func (l *Listener) acceptWaiting() (net.Conn, error) {
-	fd, acceptErr := -1, error(nil)
-	err := l.socket.Control(func(socket uintptr) {
-		for {
-			fd, _, acceptErr = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
-				return
-			}
-		}
-	})
-	if err != nil || errors.Is(acceptErr, syscall.EAGAIN) {
-		return nil, err
-	}
-	if acceptErr != nil {
-		return nil, acceptErr
-	}
-	file := os.NewFile(uintptr(fd), "")
-	defer func() { _ = file.Close() }()
-	return net.FileConn(file)
+// limitAccept limits the time in which connections are still accepted.
+func (l *Listener) limitAccept() error {
+	return l.tcp.SetDeadline(time.Now().Add(handshakeTimeout))
 }
 
 var errTooManyConnections = merry.Sentinel("too many connections")
@@ -269,10 +255,9 @@
 	if l.stopping.Swap(true) {
 		return
 	}
-	// Wakes Accept.
-	if tcp, ok := l.Listener.(*net.TCPListener); ok {
-		_ = tcp.SetDeadline(time.Unix(1, 0))
-	}
+	// A connection that is made after the last look at the backlog would be reset.
+	_ = refuseHandshakes(l.socket)
+	_ = l.limitAccept()
 }
 
 // Busy returns the number of connections with a request that is awaited, read or answered.
