Keep resumed streams at their version where the list of servers is older

What callers saw: a stream that had begun at an engine that started again under its ID with another version could be joined from two versions, where it was resumed at an instance that still listed the engine's earlier incarnation; or it was refused although a server of its version served.

Cause: Confirm took any listed incarnation for the later one, and corrected the origin by a list that was older than it.

A list with an earlier incarnation than the origin's says nothing now. An engine is asked whenever a begun stream goes on at it without a copy of its KV cache; one that has started again holds no copy. A refusal by an outdated list has a Retry-After.

Cases of TestConfirm, TestResumedStreamByOrigin and TestBegunStreamAtRestartedServer failed before. The last one replaces TestBegunStreamAtUnlistedServer, whose case "listed" demanded that a listed engine that reports another start is trusted; that is refused now. Load reports don't count as runs in the fake backend, as they run nothing.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -235,7 +235,7 @@
 	return resp
 }
 
-// backend is a fake backend server that counts the requests it ran.
+// backend is a fake backend server that counts the requests it ran, which load reports aren't.
 type backend struct {
 	mu          sync.Mutex
 	runs        int
@@ -245,7 +245,9 @@
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	b.runs++
+	if r.URL.Path != "/report" {
+		b.runs++
+	}
 	b.lastRequest = r.Clone(context.Background())
 	b.mu.Unlock()
 	w.Header().Set("T-Id", r.Header.Get("T-Id"))
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -139,13 +139,14 @@
 const incarnationTimeout = 300 * time.Millisecond
 
 // confirmIncarnation asks the engine that a begun stream is sent to whether it has restarted, perhaps with
-// another version, while the list of servers doesn't show that: the platform is silent, or doesn't list it.
-func (s *Server) confirmIncarnation(ctx context.Context, r *request, server platformstate.Server) error {
+// another version: the list of servers tells that late. An engine that has restarted holds no copy of a KV
+// cache, so that one that is sent to the copy is asked only while the list may be outdated.
+func (s *Server) confirmIncarnation(ctx context.Context, r *request, server platformstate.Server, hasCopy bool) error {
 	if r.origin.Load() == nil || server.Version == "" {
 		return nil
 	}
 	_, listed := s.opts.State.Server(server.ID)
-	if listed && !s.serversOutdated(s.opts.Now()) {
+	if hasCopy && listed && !s.serversOutdated(s.opts.Now()) {
 		return nil
 	}
 	if !r.isGeneration() || server.StartedAtMillis == 0 {
@@ -215,8 +216,14 @@
 }
 
 // versionMayReturn reports whether a server of a stream's version is listed that takes no requests now
-// without leaving.
+// without leaving, or may be listed without this instance knowing it yet.
 func (s *Server) versionMayReturn(origin *streamorigin.Origin) bool {
 	listed, ok := s.opts.State.Server(origin.Server)
-	return ok && !listed.Leaving && !s.opts.State.Draining(origin.Server) && origin.Allows(&listed.Server)
+	switch {
+	case !ok:
+		return s.serversOutdated(s.opts.Now())
+	case origin.OutdatesList(&listed.Server):
+		return true
+	}
+	return !listed.Leaving && !s.opts.State.Draining(origin.Server) && origin.Allows(&listed.Server)
 }
--- a/internal/ingress/origins_test.go
+++ b/internal/ingress/origins_test.go
@@ -20,6 +20,10 @@
 // startVersions starts a server before engines llm-1 and llm-2 of the given versions.
 func startVersions(t *testing.T, first, second string) (f *fixture, engines [2]*backend) {
 	handle := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			_ = json.NewEncoder(w).Encode(dialect.LoadReport{})
+			return
+		}
 		if r.Header.Get("Last-Event-Id") == "5" {
 			sendEvents(6, 9, true)(w, r)
 			return
@@ -70,6 +74,19 @@
 			f.begin("llm", "llm-1", "v1")
 			f.restart("llm-1", "v2", f.clock.now().Add(-time.Minute))
 		}, "id-0", http.StatusOK, -1, ""},
+		"its server is listed as it was before": {func(f *fixture) {
+			f.begin("llm", "llm-1", "v2")
+			f.restart("llm-1", "v1", time.UnixMilli(0).Add(-time.Hour))
+			f.restart("llm-2", "v1", time.UnixMilli(1))
+		}, "id-0", http.StatusServiceUnavailable, -1, "1.000"},
+		"its server is listed as it was before, another of its version serves": {func(f *fixture) {
+			f.begin("llm", "llm-1", "v2")
+			f.restart("llm-1", "v1", time.UnixMilli(0).Add(-time.Hour))
+		}, "id-0", http.StatusOK, 1, ""},
+		"its server isn't listed while the platform is silent": {func(f *fixture) {
+			f.clock.advance(platformstate.ServersInterval + 2*platformSilenceMargin)
+			f.begin("llm", "llm-9", "v9")
+		}, "id-0", http.StatusServiceUnavailable, -1, "1.000"},
 		"its server has restarted at about the same time": {func(f *fixture) {
 			f.begin("llm", "llm-1", "v1")
 			f.restart("llm-1", "v2", f.clock.now())
@@ -184,16 +201,20 @@
 	}
 }
 
-// Guards against a stream that goes on at a server that the platform doesn't list any more, and that may have
-// restarted with another version under its ID.
-func TestBegunStreamAtUnlistedServer(t *testing.T) {
+// Guards against a stream that goes on at a server that may have restarted with another version under its ID,
+// which the list of servers doesn't show, or that isn't listed any more.
+func TestBegunStreamAtRestartedServer(t *testing.T) {
 	for name, tt := range map[string]struct {
 		startedAt int64
 		listed    bool
+		hasCopy   bool
 		plain     bool
 		want      bool
 	}{
-		"listed":                 {startedAt: 2, listed: true, want: true},
+		"listed":                 {startedAt: 1, listed: true, want: true},
+		"restarted, listed":      {startedAt: 2, listed: true, want: false},
+		"listed, has a copy":     {startedAt: 2, listed: true, hasCopy: true, want: true},
+		"restarted, has a copy":  {startedAt: 2, hasCopy: true, want: false},
 		"same incarnation":       {startedAt: 1, want: true},
 		"restarted":              {startedAt: 2, want: false},
 		"has no report":          {startedAt: 1, plain: true, want: false},
@@ -216,7 +237,7 @@
 			}
 			origin := streamorigin.Of(f.clock.now(), &engine.Server)
 			r.origin.Store(&origin)
-			err := f.confirmIncarnation(t.Context(), r, engine)
+			err := f.confirmIncarnation(t.Context(), r, engine, tt.hasCopy)
 			require.Equal(t, tt.want, err == nil, "%v", err)
 		})
 	}
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -23,7 +23,8 @@
 	if !s.mayRunOn(r, &place.Server) {
 		return nil, merry.Wrap(errOtherVersion)
 	}
-	if err := s.confirmIncarnation(ctx, r, place.Server); err != nil {
+	hasCopy := slices.ContainsFunc(extra, func(h service.Header) bool { return h.Name == s.fields.ResumeFrom })
+	if err := s.confirmIncarnation(ctx, r, place.Server, hasCopy); err != nil {
 		return nil, err
 	}
 	sentAt := s.opts.Now()
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -51,9 +51,9 @@
 	return server.Service == o.Service && server.Version == o.Version
 }
 
-// Confirm returns the origin as far as a later list of the servers confirms it: a server that was listed
-// with another version under its ID may have restarted before or after it wrote the first event. It
-// returns false if the times don't tell.
+// Confirm returns the origin as far as a list of the servers confirms it: a server that is listed with
+// another version under its ID may have restarted before or after it wrote the first event. A list with an
+// earlier incarnation than the origin's is older and says nothing. It returns false if the times don't tell.
 func (o Origin) Confirm(listed *dialect.Server) (Origin, bool) {
 	if listed.ID != o.Server || listed.StartedAtMillis == o.StartedAtMillis || listed.Version == o.Version {
 		return o, true
@@ -62,7 +62,7 @@
 	switch {
 	case listed.StartedAtMillis == 0:
 		return o, false
-	case age < -clockTolerance:
+	case age < -clockTolerance, o.OutdatesList(listed):
 		return o, true
 	case age > clockTolerance:
 		o.Version, o.StartedAtMillis = listed.Version, listed.StartedAtMillis
@@ -71,6 +71,12 @@
 	return o, false
 }
 
+// OutdatesList reports whether a list of the servers is older than the origin: the server has started again
+// since then.
+func (o *Origin) OutdatesList(listed *dialect.Server) bool {
+	return listed.ID == o.Server && listed.StartedAtMillis < o.StartedAtMillis
+}
+
 // Key returns the key of a stream: the hash of the workspace of its caller and of the request ID of the
 // attempt that brought the first event.
 func Key(workspace, requestID string) uint64 {
--- a/internal/streamorigin/origin_test.go
+++ b/internal/streamorigin/origin_test.go
@@ -26,6 +26,7 @@
 	}{
 		"same incarnation":                        {server("v1", start), "v1", true},
 		"restarted with the same version":         {server("v1", began), "v1", true},
+		"listed before it restarted":              {server("v0", start.Add(-time.Minute)), "v1", true},
 		"restarted after the first event":         {server("v2", began.Add(5*time.Second)), "v1", true},
 		"restarted before the first event":        {server("v2", began.Add(-5*time.Second)), "v2", true},
 		"restarted about the time of the event":   {server("v2", began.Add(100*time.Millisecond)), "", false},
