Read the body of a caller's request no further than its length

Callers that sent a further request at once on the connection got a 400, "body: is shorter than its Content-Length", for a body of 40 KB, and no answer to the second request.

Cause: readBody gave the library's body stream a buffer larger than the rest of the body, and the stream passes the whole buffer on to the connection, so that it reads into the next request.

The reader is limited to the length if there is one; a body that ends early is still refused.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -50,7 +50,8 @@
 	if limit <= 0 || limit > maxBodyBytes {
 		limit = maxBodyBytes
 	}
-	if n := c.Request.Header.ContentLength(); n > limit {
+	length := c.Request.Header.ContentLength()
+	if length > limit {
 		return nil, tooLarge(limit)
 	}
 	if !c.Request.IsBodyStream() {
@@ -61,8 +62,13 @@
 		}
 		return append([]byte(nil), body...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(limit)+1))
-	if err != nil {
+	most := limit + 1
+	if length >= 0 {
+		// The library's stream reads beyond the length into a larger buffer.
+		most = length
+	}
+	body, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(most)))
+	if err != nil || len(body) < length {
 		return nil, answer.Invalid("body", "is shorter than its Content-Length")
 	}
 	if len(body) > limit {
