Let requests begin while a test waits for endless answers

What was seen: TestEndlessAnswers failed once with -race, write in testing.tRunner, previous read in net/http.serverHandler.ServeHTTP.

Cause: a race of the test's server. Wait waited for a WaitGroup, which doesn't allow Add from zero meanwhile: a request may begin while the test waits for the others.

The server counts its connections under a mutex. What the tests check is unchanged.

--- a/test/endless/endless.go
+++ b/test/endless/endless.go
@@ -33,20 +33,48 @@
 	// Repeat is sent again and again.
 	Repeat string
 
-	most    atomic.Int64
-	serving sync.WaitGroup
+	most atomic.Int64
+
+	mu      sync.Mutex
+	serving int
+	// ended is closed once no connection is served; nil if there is none.
+	ended chan struct{}
 }
 
 // Most returns the largest number of bytes that were sent on one connection after the beginning.
 func (s *Server) Most() int64 { return s.most.Load() }
 
-// Wait waits until all connections are closed.
-func (s *Server) Wait() { s.serving.Wait() }
+// Wait waits until all connections are closed. Requests may begin meanwhile.
+func (s *Server) Wait() {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// begin counts a connection until end is called.
+func (s *Server) begin() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serving == 0 {
+		s.ended = make(chan struct{})
+	}
+	s.serving++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.serving--; s.serving == 0 {
+			close(s.ended)
+			s.ended = nil
+		}
+	}
+}
 
 // ServeHTTP answers a request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.serving.Add(1)
-	defer s.serving.Done()
+	defer s.begin()()
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
