Log how the connections of a leaving instance end

A leaving instance now writes a line for each connection: the ID of its last request, what it held, who ended it, the bytes that aren't confirmed, and whether bytes were unread. All ends are counted by the same fields.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -175,6 +175,7 @@
 	}
 	s.callers, err = callerconn.NewListener(opts.Listener, callerconn.Options{
 		ReadTimeout: readTimeout, WriteTimeout: opts.SlowCallerTimeout, MaxConnections: maxConnections,
+		Log: opts.Logger, Scope: opts.Scope.SubScope("callers"),
 	})
 	if err != nil {
 		return nil, merry.Wrap(ErrOptions, merry.WithCause(err))
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -41,6 +41,13 @@
 	// began is set while a part of a request was read that isn't handled yet.
 	began  bool
 	closed bool
+	// ended is set once the end was recorded.
+	ended bool
+	// gone is set once the caller has closed its end, or the connection has failed.
+	gone bool
+	// request is the ID of the last request, answeredAt when its handling ended.
+	request    string
+	answeredAt time.Time
 	// ahead holds bytes that were read while a request was handled, aheadErr the error that ended it.
 	ahead    []byte
 	aheadErr error
@@ -124,7 +131,9 @@
 		if n > 0 {
 			received(n)
 		}
-		return !errors.Is(readErr, syscall.EAGAIN)
+		waits := errors.Is(readErr, syscall.EAGAIN)
+		c.gone = c.gone || n <= 0 && !waits
+		return !waits
 	})
 	switch {
 	case err != nil:
@@ -166,19 +175,26 @@
 }
 
 // Close implements [net.Conn].
-func (c *Conn) Close() error {
+func (c *Conn) Close() error { return c.end(endedByInstance) }
+
+// end closes the connection.
+func (c *Conn) end(by endedBy) error {
 	c.mu.Lock()
-	c.closed = true
+	ended := c.ended
+	c.closed, c.ended = true, true
 	c.mu.Unlock()
+	if !ended {
+		c.listener.recordEnd(c, by)
+	}
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
 
-// beginRequest names what is called if the caller leaves while its request is handled.
-func (c *Conn) beginRequest(onGone func()) {
+// beginRequest names the request that is handled, and what is called if the caller leaves meanwhile.
+func (c *Conn) beginRequest(id string, onGone func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.began, c.onGone = handling, false, onGone
+	c.state, c.began, c.request, c.onGone = handling, false, id, onGone
 }
 
 // endRequest ends the handling of a request; buffered says that bytes of the next one were read.
@@ -187,7 +203,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.began, c.onGone = answered, buffered, nil
-	c.awaitedUntil = time.Time{}
+	c.answeredAt, c.awaitedUntil = c.listener.opts.Now(), time.Time{}
 	if buffered {
 		c.awaitedUntil = c.listener.opts.Now().Add(requestTimeout)
 	}
@@ -284,5 +300,12 @@
 	}
 	c.closed = true
 	c.mu.Unlock()
-	_ = c.Close()
+	_ = c.end(endedAsIdle)
+}
+
+// unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, and whether it
+// is known.
+func (c *Conn) unconfirmed() (n int, known bool) {
+	err := c.socket.Control(func(fd uintptr) { n, known = unconfirmedBytes(fd) })
+	return n, known && err == nil
 }
--- /dev/null
+++ b/internal/callerconn/ends.go
@@ -0,0 +1,74 @@
+package callerconn
+
+import (
+	"strconv"
+	"time"
+)
+
+// endedBy says who ended a connection.
+type endedBy string
+
+const (
+	// endedByCaller: the caller has closed its end, or the connection was reset.
+	endedByCaller endedBy = "caller"
+	// endedByInstance: this instance closed the connection after a response or an error.
+	endedByInstance endedBy = "instance"
+	// endedAsIdle: this instance leaves and closed a connection without a request.
+	endedAsIdle endedBy = "idle"
+	// endedByAbort: this instance cut what was in progress.
+	endedByAbort endedBy = "abort"
+)
+
+// held says what a connection held as it ended.
+type held string
+
+const (
+	heldNothing held = "nothing"
+	// heldPart is the beginning of a request.
+	heldPart held = "partOfRequest"
+	// heldRequest is a request without a response.
+	heldRequest held = "request"
+	// heldResponse is a response that was written.
+	heldResponse held = "response"
+)
+
+// holds returns what the connection holds; mu is held.
+func (c *Conn) holds() held {
+	switch {
+	case c.state == handling:
+		return heldRequest
+	case c.state == answered:
+		return heldResponse
+	case c.began || len(c.ahead) > 0:
+		return heldPart
+	}
+	return heldNothing
+}
+
+// recordEnd logs and counts the end of a connection, before its socket is closed.
+func (l *Listener) recordEnd(c *Conn, by endedBy) {
+	unconfirmed, known := c.unconfirmed()
+	unread := c.hasUnread()
+	c.mu.Lock()
+	held, request, answeredAt := c.holds(), c.request, c.answeredAt
+	if by == endedByInstance && c.gone {
+		by = endedByCaller
+	}
+	c.mu.Unlock()
+	confirmed := "unknown"
+	if known {
+		confirmed = strconv.FormatBool(unconfirmed == 0)
+	}
+	l.opts.Scope.Tagged(map[string]string{"endedBy": string(by), "held": string(held), "confirmed": confirmed}).Counter("connections_ended").Inc(1)
+	if !l.draining.Load() {
+		return
+	}
+	line := l.opts.Log.Info().Stringer("caller", c.RemoteAddr()).Str("request", request).Str("endedBy", string(by)).Str("held", string(held)).Bool("unread", unread)
+	if known {
+		line = line.Int("unconfirmedBytes", unconfirmed)
+	}
+	if !answeredAt.IsZero() {
+		line = line.Dur("sinceResponse", l.opts.Now().Sub(answeredAt).Round(time.Microsecond))
+	}
+	line.Msg("connection ended")
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -35,6 +35,8 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 )
 
 // ErrListener means that a listener isn't one of TCP sockets.
@@ -61,6 +63,11 @@
 	WriteTimeout time.Duration
 	// MaxConnections limits the open connections; further ones are closed at once. 0 means no limit.
 	MaxConnections int
+	// RequestID is the header field with the ID of a request, for the log; empty for none.
+	RequestID string
+	Log       zerolog.Logger
+	// Scope is where the ends of connections are counted; nil for nowhere.
+	Scope tally.Scope
 	// Now returns the present time; nil for the clock of the machine.
 	Now func() time.Time
 }
@@ -96,6 +103,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
 	return &Listener{Listener: l, tcp: tcp, socket: socket, opts: opts, conns: map[*Conn]struct{}{}, ended: make(chan struct{})}, nil
 }
 
@@ -124,7 +134,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn.beginRequest(cancel)
+	conn.beginRequest(l.requestID(c), cancel)
 	defer func() {
 		conn.endRequest(c.GetReader().Len() > 0)
 		if l.draining.Load() && c.Response.GetHijackWriter() == nil {
@@ -137,6 +147,13 @@
 	c.Next(ctx)
 }
 
+func (l *Listener) requestID(c *app.RequestContext) string {
+	if l.opts.RequestID == "" {
+		return ""
+	}
+	return string(c.GetHeader(l.opts.RequestID))
+}
+
 // Watch ends the context of a request as soon as its caller leaves. The body must have been read.
 func Watch(ctx context.Context) {
 	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
@@ -303,7 +320,7 @@
 	l.closeOnce.Do(func() { close(l.ended) })
 	l.mu.Unlock()
 	for _, conn := range l.open() {
-		_ = conn.Close()
+		_ = conn.end(endedByAbort)
 	}
 	return err
 }
--- a/internal/callerconn/socket_other.go
+++ b/internal/callerconn/socket_other.go
@@ -8,3 +8,5 @@
 )
 
 func refuseHandshakes(syscall.RawConn) error { return errors.ErrUnsupported }
+
+func unconfirmedBytes(uintptr) (n int, known bool) { return 0, false }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -223,15 +223,19 @@
 		s.silence = newSilenceDetector(s)
 	}
 	for _, listen := range []struct {
+		name  string
 		on    **callerconn.Listener
 		tcp   net.Listener
 		route func(h *server.Hertz)
 	}{
-		{&s.callers, opts.Callers, func(h *server.Hertz) { h.NoRoute(s.handle) }},
-		{&s.ready, opts.Ready, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
-		{&s.directory, opts.Directory, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
+		{"callers", &s.callers, opts.Callers, func(h *server.Hertz) { h.NoRoute(s.handle) }},
+		{"ready", &s.ready, opts.Ready, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
+		{"directory", &s.directory, opts.Directory, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
 	} {
-		if *listen.on, err = callerconn.NewListener(listen.tcp, callerconn.Options{ReadTimeout: readTimeout, WriteTimeout: writeTimeout}); err != nil {
+		if *listen.on, err = callerconn.NewListener(listen.tcp, callerconn.Options{
+			ReadTimeout: readTimeout, WriteTimeout: writeTimeout, RequestID: s.fields.RequestID, Now: opts.Now,
+			Log: opts.Log.With().Str("listener", listen.name).Logger(), Scope: opts.Scope.Tagged(map[string]string{"listener": listen.name}),
+		}); err != nil {
 			return nil, err
 		}
 		h := newHertz(*listen.on)
