--- a/test/process/process.go
+++ b/test/process/process.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// Done returns a channel that is closed once the process has exited.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
 // Signal sends sig to the process.
 func (p *Process) Signal(t testing.TB, sig syscall.Signal) {
 	t.Helper()
