End connections once callers have received their answers

Cause: an answer counted as sent once the instance's own system had it. The connection was closed at once, and the process ended within milliseconds. Whatever was on its way then depended on the machine, its address and its network outliving the process. A close with unread bytes also resets the connection, which can take the answer away from the caller.

In TestResponseOutlivesUnreadBytes 'further requests' ended with a reset.

A connection now ends in the usual order: the sending side is closed, bytes of the caller are dropped, and the socket is closed once the caller has closed its end, or for a second has confirmed nothing more. An idle connection is ended in the same way, but a request that crosses its end isn't read, so that its caller learns that. The instance counts these connections as open, so it ends after them.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -19,7 +19,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-const testTimeout = 10 * time.Second
+const (
+	testTimeout = 10 * time.Second
+	// refusedPath is the path of requests that are refused without reading their bodies.
+	refusedPath = "/refused"
+)
 
 // fixture is a server that reads the body of each request and waits until it is released.
 type fixture struct {
@@ -56,6 +60,11 @@
 }
 
 func (f *fixture) handle(ctx context.Context, c *app.RequestContext) {
+	if string(c.Path()) == refusedPath {
+		c.SetConnectionClose()
+		c.Data(http.StatusRequestEntityTooLarge, "text/plain", []byte(refusedPath))
+		return
+	}
 	body := []byte(nil)
 	if c.Request.IsBodyStream() {
 		// The library's stream reads beyond its length into a larger buffer.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -39,10 +39,15 @@
 	// of which a part was read.
 	awaitedUntil time.Time
 	// began is set while a part of a request was read that isn't handled yet.
-	began  bool
-	closed bool
-	// ended is set once the end was recorded.
-	ended bool
+	began bool
+	// waiting is set while the library waits for bytes, after it has read all that came.
+	waiting bool
+	// ending is set once nothing more is read, ended once the connection was given up by the library, and aborted
+	// once the connection is cut.
+	ending, ended, aborted bool
+	// idleClosed is set if it was closed as idle.
+	idleClosed bool
+	recordEnd  sync.Once
 	// gone is set once the caller has closed its end, or the connection has failed.
 	gone bool
 	// request is the ID of the last request, answeredAt when its handling ended.
@@ -92,6 +97,10 @@
 		c.mu.Unlock()
 		return 0, err
 	}
+	if c.ending {
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	if c.state == answered {
 		c.state = idle
 	}
@@ -118,7 +127,7 @@
 	err := c.socket.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.closed {
+		if c.ending {
 			readErr = net.ErrClosed
 			return true
 		}
@@ -131,15 +140,18 @@
 		if n > 0 {
 			received(n)
 		}
-		waits := errors.Is(readErr, syscall.EAGAIN)
-		c.gone = c.gone || n <= 0 && !waits
-		return !waits
+		c.waiting = errors.Is(readErr, syscall.EAGAIN)
+		c.gone = c.gone || n <= 0 && !c.waiting
+		return !c.waiting
 	})
+	if err != nil && c.stopWaiting() {
+		return 0, io.EOF
+	}
 	switch {
 	case err != nil:
 		return 0, err
 	case readErr != nil && errors.Is(readErr, net.ErrClosed):
-		return 0, readErr
+		return 0, io.EOF
 	case readErr != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
 	case n <= 0:
@@ -174,20 +186,40 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// Close implements [net.Conn].
-func (c *Conn) Close() error { return c.end(endedByInstance) }
+// stopWaiting records that the library no longer waits for bytes, and reports whether the connection ends.
+func (c *Conn) stopWaiting() (ending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	return c.ending
+}
 
-// end closes the connection.
-func (c *Conn) end(by endedBy) error {
+// Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	ended := c.ended
-	c.closed, c.ended = true, true
+	c.ending, c.ended = true, true
+	aborted := c.aborted
 	c.mu.Unlock()
-	if !ended {
-		c.listener.recordEnd(c, by)
+	if ended {
+		return nil
+	}
+	if !aborted {
+		c.linger()
 	}
+	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
+	err := c.Conn.Close()
 	c.listener.remove(c)
-	return c.Conn.Close()
+	return err
+}
+
+// abort cuts the connection. The library ends it once the handler of its request has returned.
+func (c *Conn) abort() {
+	c.mu.Lock()
+	c.ending, c.aborted = true, true
+	c.mu.Unlock()
+	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
+	_ = c.Conn.Close()
 }
 
 // beginRequest names the request that is handled, and what is called if the caller leaves meanwhile.
@@ -213,7 +245,7 @@
 func (c *Conn) watch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.watcher != nil || c.closed || c.onGone == nil {
+	if c.watcher != nil || c.ending || c.onGone == nil {
 		return
 	}
 	done := make(chan struct{})
@@ -274,7 +306,7 @@
 
 // holdsRequest reports whether a request is awaited, read or answered, or waits in the socket; mu is held.
 func (c *Conn) holdsRequest(now time.Time) bool {
-	if c.closed {
+	if c.ending {
 		return false
 	}
 	return c.state != idle || len(c.ahead) > 0 || now.Before(c.awaitedUntil) || c.hasUnread()
@@ -282,25 +314,26 @@
 
 // hasUnread reports whether bytes wait in the socket.
 func (c *Conn) hasUnread() bool {
-	var unread bool
-	err := c.socket.Control(func(fd uintptr) {
-		var p [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	})
-	return err == nil && unread
+	n, err := c.peek()
+	return err == nil && n > 0
 }
 
-// closeIdle closes the connection unless it holds a request.
+// peek returns the number of bytes that wait in the socket, up to one.
+func (c *Conn) peek() (n int, err error) {
+	controlErr := c.socket.Control(func(fd uintptr) { n, err = peek(fd) })
+	return n, errors.Join(controlErr, err)
+}
+
+// closeIdle ends the connection unless it holds a request.
 func (c *Conn) closeIdle(now time.Time) {
 	c.mu.Lock()
-	if c.holdsRequest(now) {
-		c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.holdsRequest(now) || c.ending {
 		return
 	}
-	c.closed = true
-	c.mu.Unlock()
-	_ = c.end(endedAsIdle)
+	c.ending, c.idleClosed = true, true
+	// The library waits in a read, and closes the connection once that has ended.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, and whether it
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -45,27 +45,37 @@
 	return heldNothing
 }
 
+// end returns who ended the connection; mu is held.
+func (c *Conn) end() endedBy {
+	switch {
+	case c.aborted:
+		return endedByAbort
+	case c.idleClosed:
+		return endedAsIdle
+	case c.gone:
+		return endedByCaller
+	}
+	return endedByInstance
+}
+
 // recordEnd logs and counts the end of a connection, before its socket is closed.
-func (l *Listener) recordEnd(c *Conn, by endedBy) {
-	unconfirmed, known := c.unconfirmed()
-	unread := c.hasUnread()
+func (l *Listener) recordEnd(c *Conn) {
+	s := c.socketState()
 	c.mu.Lock()
-	held, request, answeredAt := c.holds(), c.request, c.answeredAt
-	if by == endedByInstance && c.gone {
-		by = endedByCaller
-	}
+	by, held, request, answeredAt := c.end(), c.holds(), c.request, c.answeredAt
 	c.mu.Unlock()
 	confirmed := "unknown"
-	if known {
-		confirmed = strconv.FormatBool(unconfirmed == 0)
+	if s.confirms {
+		confirmed = strconv.FormatBool(s.unconfirmed == 0)
 	}
 	l.opts.Scope.Tagged(map[string]string{"endedBy": string(by), "held": string(held), "confirmed": confirmed}).Counter("connections_ended").Inc(1)
 	if !l.draining.Load() {
 		return
 	}
-	line := l.opts.Log.Info().Stringer("caller", c.RemoteAddr()).Str("request", request).Str("endedBy", string(by)).Str("held", string(held)).Bool("unread", unread)
-	if known {
-		line = line.Int("unconfirmedBytes", unconfirmed)
+	line := l.opts.Log.Info().Stringer("caller", c.RemoteAddr()).Str("request", request).Str("endedBy", string(by)).Str("held", string(held)).
+		Bool("callerClosed", s.closed).Bool("reset", s.failed).Bool("unread", s.unread)
+	if s.confirms {
+		line = line.Int("unconfirmedBytes", s.unconfirmed)
 	}
 	if !answeredAt.IsZero() {
 		line = line.Dur("sinceResponse", l.opts.Now().Sub(answeredAt).Round(time.Microsecond))
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -320,7 +320,7 @@
 	l.closeOnce.Do(func() { close(l.ended) })
 	l.mu.Unlock()
 	for _, conn := range l.open() {
-		_ = conn.end(endedByAbort)
+		conn.abort()
 	}
 	return err
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -226,15 +226,16 @@
 		name  string
 		on    **callerconn.Listener
 		tcp   net.Listener
+		log   zerolog.Logger
 		route func(h *server.Hertz)
 	}{
-		{"callers", &s.callers, opts.Callers, func(h *server.Hertz) { h.NoRoute(s.handle) }},
-		{"ready", &s.ready, opts.Ready, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
-		{"directory", &s.directory, opts.Directory, func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
+		{"callers", &s.callers, opts.Callers, opts.Log, func(h *server.Hertz) { h.NoRoute(s.handle) }},
+		{"ready", &s.ready, opts.Ready, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
+		{"directory", &s.directory, opts.Directory, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
 	} {
 		if *listen.on, err = callerconn.NewListener(listen.tcp, callerconn.Options{
 			ReadTimeout: readTimeout, WriteTimeout: writeTimeout, RequestID: s.fields.RequestID, Now: opts.Now,
-			Log: opts.Log.With().Str("listener", listen.name).Logger(), Scope: opts.Scope.Tagged(map[string]string{"listener": listen.name}),
+			Log: listen.log, Scope: opts.Scope.Tagged(map[string]string{"listener": listen.name}),
 		}); err != nil {
 			return nil, err
 		}
