Keep connections whose request was read though they look idle

What callers would see: their connection is closed while their request runs at a server, and the instance ends before it.

Cause: between the read of a request and the start of its handler, a connection was told from an idle one by time: one second after its last byte. A process without a processor for longer closed it as idle, then handled the request; nothing waits for handlers of closed connections.

Evidence: TestReadRequestIsNeverIdle failed before: the connection wasn't busy after ten seconds. That this happened on the users' machines isn't shown. A connection is now idle only while the library waits for bytes, which is recorded in the step in which the socket was found empty.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -309,7 +309,7 @@
 	if c.ending {
 		return false
 	}
-	return c.state != idle || len(c.ahead) > 0 || now.Before(c.awaitedUntil) || c.hasUnread()
+	return c.state != idle || !c.waiting || len(c.ahead) > 0 || now.Before(c.awaitedUntil) || c.hasUnread()
 }
 
 // hasUnread reports whether bytes wait in the socket.
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -47,6 +48,31 @@
 	}
 }
 
+// Guards against requests that were read and whose connection is closed as idle, since the process had no
+// processor for longer than callers take to send a request.
+func TestReadRequestIsNeverIdle(t *testing.T) {
+	tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l, err := NewListener(tcp, Options{})
+	require.NoError(t, err)
+	defer l.Close()
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer dialed.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	_, err = io.WriteString(dialed, request("/a", "1"))
+	require.NoError(t, err)
+	_, err = accepted.Read(make([]byte, 4<<10))
+	require.NoError(t, err)
+	later := time.Now().Add(10 * requestTimeout)
+	require.Equal(t, 1, l.Busy(later))
+	accepted.(*Conn).closeIdle(later)
+	require.False(t, accepted.(*Conn).ending)
+	_ = dialed.Close()
+	require.NoError(t, accepted.Close())
+}
+
 // Guards against responses that a reset takes away from callers whose bytes weren't read.
 func TestResponseOutlivesUnreadBytes(t *testing.T) {
 	const bodyBytes = 512 << 10
