Refuse requests on kept connections that may outlast a leaving instance

What callers would see: a request on a kept connection to a leaving instance, sent over three seconds after its SIGTERM, is cut at the end of the grace period although a server runs it.

Cause: a request was accepted with a second of the grace period left, of which 0.4 s are reserved for the exit, whatever its own limit. A long stream keeps the instance, and with it idle connections, until then.

Evidence: by reading, and the new cases of TestLeavingInstanceRefusesWhatMayNotEnd, two of which fail without the change.

Once connections are refused, a request that may last beyond the end by its own limit is refused as not run; the limit counts to the moment of the cut.

--- a/internal/ingress/failures.go
+++ b/internal/ingress/failures.go
@@ -25,14 +25,20 @@
 // Callers that know this instance keep coming for seconds. A long stream that starts then would be
 // cut when the process exits; if it is refused, it starts on another instance. The decision uses
 // the caller's limit on the output, not the expected output.
+//
+// Once connections are refused, requests come on kept connections alone, whose callers know other instances by
+// then: those that may last beyond the end by their own limits are refused, too.
 func (s *Server) refuseWhileDraining(now time.Time, r *request) *answer.Failure {
 	if !s.draining.Load() {
 		return nil
 	}
 	remaining := s.opts.Grace - now.Sub(time.Unix(0, s.drainedAt.Load()))
-	required := minGraceRequest
+	required, limit := minGraceRequest, r.startDeadline
 	if r.route.Kind == routes.Stream {
-		required = minGraceStream + time.Duration(r.maxOutput)*timePerToken
+		required, limit = minGraceStream+time.Duration(r.maxOutput)*timePerToken, r.callerDeadline
+	}
+	if s.refusesConnections.Load() {
+		required = max(required, limit.Sub(now))
 	}
 	if required <= remaining {
 		return nil
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -396,6 +396,31 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.send("GET", "/read/1", "").StatusCode)
 }
 
+// Guards against requests on kept connections that are cut as a leaving instance ends.
+func TestLeavingInstanceRefusesWhatMayNotEnd(t *testing.T) {
+	tests := map[string]struct {
+		path, deadlineMillis, tokens string
+		// refuses says that connections are refused already.
+		refuses bool
+		want    int
+	}{
+		"short limit":                          {"/read/1", "2000", "", true, http.StatusOK},
+		"limit beyond the end":                 {"/read/1", "3500", "", true, http.StatusServiceUnavailable},
+		"limit beyond the end, new connection": {"/read/1", "3500", "", false, http.StatusOK},
+		"stream":                               {"/check/1", "6000", "200,12", true, http.StatusServiceUnavailable},
+		"stream, new connection":               {"/check/1", "6000", "200,12", false, http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, map[string]http.Handler{"llm-1": &backend{handle: sendEvents(1, 3, true)}, "desk-1": &backend{handle: respondWith(200)}})
+			f.Drain(f.clock.now())
+			f.clock.advance(5 * time.Second)
+			f.refusesConnections.Store(tt.refuses)
+			require.Equal(t, tt.want, f.send("GET", tt.path, "", "T-Tokens", tt.tokens, "T-Deadline", tt.deadlineMillis).StatusCode)
+		})
+	}
+}
+
 // Guards against callers that exhaust their retries: during startup the Retry-After is short,
 // during a platform outage it is longer, as many callers retry only once.
 func TestRetryAfterWithoutConfiguration(t *testing.T) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -177,7 +177,9 @@
 
 	draining  atomic.Bool
 	drainedAt atomic.Int64
-	running   atomic.Int64
+	// refusesConnections is set once callers can't open connections any more.
+	refusesConnections atomic.Bool
+	running            atomic.Int64
 	// roomWaiters counts the requests that wait for room on brittle servers.
 	roomWaiters atomic.Int64
 	// trialWaiters counts the requests that wait for a trial.
@@ -330,7 +332,10 @@
 }
 
 // StopAccepting refuses further connections of callers. Those that wait to be accepted are served.
-func (s *Server) StopAccepting() { s.callers.StopAccepting() }
+func (s *Server) StopAccepting() {
+	s.refusesConnections.Store(true)
+	s.callers.StopAccepting()
+}
 
 // CloseIdle closes the connections without a request, once no caller's request is awaited, read or
 // answered, and returns the number of connections that are still open. Those to the readiness check and
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -300,7 +300,7 @@
 		Retries:   in.retries,
 		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Trials: in.trials, Refresh: in.refreshSuspects, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
 		MemoryBytes: int64(cfg.MemoryMegabytes) << 20, DetectSilence: cfg.DetectSilence,
-		Grace: time.Duration(cfg.GraceSeconds * float64(time.Second)),
+		Grace: in.grace(),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: in.now,
 	})
 	in.server = server
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -228,10 +228,15 @@
 	}
 }
 
+// grace is how long requests may last once the instance leaves.
+func (in *instance) grace() time.Duration {
+	return time.Duration(in.cfg.GraceSeconds*float64(time.Second)) - exitMargin
+}
+
 // leave sends callers to other instances, lets requests complete and closes the server.
 func (in *instance) leave() {
 	now := time.Now()
-	grace := time.Duration(in.cfg.GraceSeconds*float64(time.Second)) - exitMargin
+	grace := in.grace()
 	in.server.Drain(now)
 	in.dialPeer.Drain()
 	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Msg("instance leaves")
