Close unused connections without a response

Cause: the read timeout of the first byte ended in the HTTP library's response to an incomplete request, although nothing was requested.

A connection on which nothing was read is now closed without a response; its caller sees that the request wasn't read. The time limit is unchanged. The case 'nothing' of TestUnusedConnectionGetsNoResponse failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -108,7 +108,19 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(t))
 	}
 	c.mu.Unlock()
-	return c.read(p, func(int) { c.received() })
+	n, err := c.read(p, func(int) { c.received() })
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasNoRequest() {
+		// The library would respond to the timeout, and the response be taken for that to a request on its way.
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// hasNoRequest reports whether nothing of a request was read.
+func (c *Conn) hasNoRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == idle && !c.began
 }
 
 // received records that a part of a request was read; mu is held.
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -101,3 +101,23 @@
 		})
 	}
 }
+
+// Guards against responses on connections on which nothing was requested.
+func TestUnusedConnectionGetsNoResponse(t *testing.T) {
+	tests := map[string]struct {
+		sent string
+		want error
+	}{
+		"nothing":        {"", io.EOF},
+		"part of a head": {"GET /a HTTP/1.1\r\n", nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, Options{ReadTimeout: 50 * time.Millisecond})
+			c := f.dial()
+			c.send(tt.sent)
+			_, err := c.r.ReadByte()
+			require.ErrorIs(t, err, tt.want)
+		})
+	}
+}
