Count the ends of connections by the labels in use

TestMetricsPresentAndBounded names the labels that may occur. The ends of connections are now counted by reason, kind and result, which are among them, in place of labels of their own; the test failed with those.

--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -1,9 +1,6 @@
 package callerconn
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 // endedBy says who ended a connection.
 type endedBy string
@@ -64,11 +61,14 @@
 	c.mu.Lock()
 	by, held, request, answeredAt := c.end(), c.holds(), c.request, c.answeredAt
 	c.mu.Unlock()
-	confirmed := "unknown"
-	if s.confirms {
-		confirmed = strconv.FormatBool(s.unconfirmed == 0)
+	result := "unknown"
+	switch {
+	case s.confirms && s.unconfirmed == 0:
+		result = "confirmed"
+	case s.confirms:
+		result = "unconfirmed"
 	}
-	l.opts.Scope.Tagged(map[string]string{"endedBy": string(by), "held": string(held), "confirmed": confirmed}).Counter("connections_ended").Inc(1)
+	l.opts.Scope.Tagged(map[string]string{"reason": string(by), "kind": string(held), "result": result}).Counter("connections_ended").Inc(1)
 	if !l.draining.Load() {
 		return
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -237,7 +237,7 @@
 	} {
 		if *listen.on, err = callerconn.NewListener(listen.tcp, callerconn.Options{
 			ReadTimeout: readTimeout, WriteTimeout: writeTimeout, RequestID: s.fields.RequestID, Now: opts.Now,
-			Log: listen.log, Scope: opts.Scope.Tagged(map[string]string{"listener": listen.name}),
+			Log: listen.log, Scope: opts.Scope.Tagged(map[string]string{"role": listen.name}),
 		}); err != nil {
 			return nil, err
 		}
