Watch callers of the stand-ins without the library's data race

Cause: the library's own detection of callers that leave reads on while the buffers of a connection are released, if the response can't be written. Only the stand-ins use it; the product has internal/callerconn for this, which the stand-ins now use, too.

--- a/internal/standin/httpserver/server.go
+++ b/internal/standin/httpserver/server.go
@@ -16,7 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"pollenspindle.example/pollenspindle/internal/callerconn"
 )
 
 // stopTimeout limits the wait for open connections on shutdown. Idle keep-alive
@@ -38,14 +39,16 @@
 	if err != nil {
 		return err
 	}
-	h := server.New(
-		server.WithListener(ln),
-		server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
+	callers, err := callerconn.NewListener(ln, callerconn.Options{})
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	h := server.New(append(callers.ServerOptions(),
 		server.WithMaxRequestBodySize(maxBodyBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(stopTimeout),
-	)
+	)...)
+	h.Use(callers.Handle, watchCaller)
 	register(h)
 	done := make(chan error, 1)
 	go func() { done <- h.Run() }()
@@ -70,6 +73,12 @@
 	return nil
 }
 
+// watchCaller ends the context of a request as soon as its caller leaves.
+func watchCaller(ctx context.Context, c *app.RequestContext) {
+	callerconn.Watch(ctx)
+	c.Next(ctx)
+}
+
 // CloseConnection closes the connection of a request without completing the response,
 // as a crashing server does.
 func CloseConnection(c *app.RequestContext) {
