Read nothing more of a request whose connection was closed as idle

What callers would see: the rest of a request that comes after the end of its idle connection is taken by the leaving instance, and no reset says that it wasn't read.

Cause: bytes were dropped at the end of any connection with a part of a request, also where no response was sent that a reset could take away.

The case 'idle, rest of a request crosses' of TestEndsAreLogged failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -45,6 +45,8 @@
 	// ending is set once nothing more is read, ended once the connection was given up by the library, and aborted
 	// once the connection is cut.
 	ending, ended, aborted bool
+	// held is what the connection held as it began to end.
+	held held
 	// idleClosed is set if it was closed as idle.
 	idleClosed bool
 	recordEnd  sync.Once
@@ -206,12 +208,19 @@
 	return c.ending
 }
 
+// beginEnd ends the reading of requests; mu is held.
+func (c *Conn) beginEnd() {
+	if !c.ending {
+		c.ending, c.held = true, c.holds()
+	}
+}
+
 // Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	ended := c.ended
-	c.ending, c.ended = true, true
-	aborted := c.aborted
+	c.beginEnd()
+	ended, aborted := c.ended, c.aborted
+	c.ended = true
 	c.mu.Unlock()
 	if ended {
 		return nil
@@ -228,7 +237,8 @@
 // abort cuts the connection. The library ends it once the handler of its request has returned.
 func (c *Conn) abort() {
 	c.mu.Lock()
-	c.ending, c.aborted = true, true
+	c.beginEnd()
+	c.aborted = true
 	c.mu.Unlock()
 	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
 	_ = c.Conn.Close()
@@ -343,7 +353,8 @@
 	if c.holdsRequest(now) || c.ending {
 		return
 	}
-	c.ending, c.idleClosed = true, true
+	c.beginEnd()
+	c.idleClosed = true
 	// The library waits in a read, and closes the connection once that has ended.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -59,7 +59,7 @@
 func (l *Listener) recordEnd(c *Conn) {
 	s := c.socketState()
 	c.mu.Lock()
-	by, held, request, answeredAt := c.end(), c.holds(), c.request, c.answeredAt
+	by, held, request, answeredAt := c.end(), c.held, c.request, c.answeredAt
 	c.mu.Unlock()
 	result := "unknown"
 	switch {
--- a/internal/callerconn/ends_test.go
+++ b/internal/callerconn/ends_test.go
@@ -46,7 +46,15 @@
 		end  func(f *fixture, c *caller)
 		want map[string]any
 	}{
-		"idle":          {func(f *fixture, _ *caller) { f.closeIdle() }, map[string]any{"endedBy": "idle", "held": "nothing", "request": ""}},
+		"idle": {func(f *fixture, _ *caller) { f.closeIdle() }, map[string]any{"endedBy": "idle", "held": "nothing", "request": ""}},
+		"idle, rest of a request crosses": {func(f *fixture, c *caller) {
+			c.send(post[:10])
+			go func() {
+				_, _ = c.r.ReadByte()
+				c.send(post[10:])
+			}()
+			f.closeIdle()
+		}, map[string]any{"endedBy": "idle", "held": "partOfRequest", "unread": true}},
 		"caller leaves": {func(f *fixture, c *caller) { _ = c.Close() }, map[string]any{"endedBy": "caller", "held": "nothing", "request": ""}},
 		"answered": {func(f *fixture, c *caller) {
 			c.send(post)
--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -63,7 +63,7 @@
 	}
 	now := c.listener.opts.Now()
 	c.mu.Lock()
-	e := ending{began: now, progressAt: now, discard: c.state != idle || c.began}
+	e := ending{began: now, progressAt: now, discard: !c.idleClosed && (c.state != idle || c.began)}
 	c.mu.Unlock()
 	for {
 		s := c.socketState()
