Count the grace period from a signal that was handled late

What callers would see: a booking on a kept connection is cut as the platform kills a leaving instance at the end of its grace period, although a server runs it, and the instance logs nothing.

Cause: an instance counted its grace period from the moment at which it handled SIGTERM. A process that gets no processor handles it later than it was sent, and accepts requests beyond the time at which it is killed.

That this happened on the users' machines isn't shown.

The instance notes every 50 ms that it runs. A signal that is handled within 250 ms after a gap may have been sent since the gap began, and the grace period counts from there; requests that can't end in time are then refused as not run. The time for which connections are still accepted counts from the handling, as before, and ends in the middle of what is left at the latest.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -144,6 +144,7 @@
 	retries      *retry.SharedBudgets
 	follower     *platformstate.Follower
 	server       *ingress.Server
+	runs         runWatch
 	background   sync.WaitGroup
 }
 
@@ -197,6 +198,7 @@
 	}
 	in.background.Go(func() { in.observeLimits(backgroundCtx) })
 	in.background.Go(func() { in.watchSettings(backgroundCtx) })
+	in.background.Go(func() { in.runs.run(backgroundCtx) })
 	in.background.Go(func() { in.serveMetrics(backgroundCtx) })
 	in.background.Go(func() { in.freeStartupMemory(backgroundCtx) })
 	go func() { failed <- in.gossip.Serve(backgroundCtx, peers) }()
@@ -236,15 +238,16 @@
 // leave sends callers to other instances, lets requests complete and closes the server.
 func (in *instance) leave() {
 	now := time.Now()
-	grace := in.grace()
-	in.server.Drain(now)
+	told := in.runs.sentAt(now)
+	end := told.Add(in.grace())
+	in.server.Drain(told)
 	in.dialPeer.Drain()
-	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Msg("instance leaves")
-	ctx, cancel := context.WithDeadline(context.Background(), now.Add(grace))
+	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Dur("signalDelay", now.Sub(told)).Msg("instance leaves")
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	in.gossip.BroadcastLeaving()
 	in.origins.HandOver(ctx)
-	_ = objectapi.Sleep(ctx, time.Until(now.Add(min(minLeaveTime, grace/2))))
+	_ = objectapi.Sleep(ctx, time.Until(now.Add(min(minLeaveTime, end.Sub(now)/2))))
 	in.server.StopAccepting()
 	connections, relayed := in.server.CloseIdle(time.Now()), in.dialPeer.Relayed()
 	for connections > 0 || relayed > 0 {
