Count only the time in which a lingering connection was looked at

What callers would see: an answer is lost on its way as an instance ends, although their system confirms it without a pause of a second.

Cause: a connection that ends waits until its caller has received what was sent, or has confirmed nothing for a second. A process that got no processor for a second, before the first look or between two, ended the wait at once: it had seen no progress because it hadn't looked.

Evidence: the three new cases "paused ..." of TestEndingWaitsForDelivery fail with the time between looks counted in full, as before. No run with real processes has shown it: on loopback the other system confirms at once.

The wait counts at most two intervals between looks for each look, so that it ends after a second of looks without progress. The looks of the test's other cases, which were up to ten seconds apart, now come on time, with the results that they had.

--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -15,13 +15,17 @@
 	maxLinger = 10 * time.Second
 	// lingerInterval is how often unconfirmed bytes are looked at: the system doesn't report their confirmation.
 	lingerInterval = 50 * time.Millisecond
+	// maxLookGap is the maximum time between two looks of a process that runs.
+	maxLookGap = 2 * lingerInterval
 )
 
 // ending is the wait of a connection that has sent its last byte until the caller has received it.
 type ending struct {
-	// began is when the wait began, progressAt when the caller's system last confirmed bytes.
-	began, progressAt time.Time
-	unconfirmed       int
+	lookedAt time.Time
+	// waited is how long the wait has lasted, idle how long since the caller's system last confirmed bytes. A time in
+	// which the process didn't run isn't counted: the socket wasn't looked at.
+	waited, idle time.Duration
+	unconfirmed  int
 	// discard says that bytes of the caller are dropped. A close with bytes that weren't read resets the
 	// connection, which may take the last response away from the caller. Without discard such a reset tells the
 	// caller that its request wasn't read.
@@ -42,8 +46,12 @@
 // isOver reports whether the connection may be closed.
 func (e *ending) isOver(now time.Time, s socketState) bool {
 	delivered := !s.confirms || s.unconfirmed == 0
+	elapsed := min(now.Sub(e.lookedAt), maxLookGap)
+	e.lookedAt = now
+	e.waited += elapsed
+	e.idle += elapsed
 	if s.unconfirmed < e.unconfirmed {
-		e.progressAt = now
+		e.idle = 0
 	}
 	e.unconfirmed = s.unconfirmed
 	switch {
@@ -52,7 +60,7 @@
 	case delivered && (s.closed || s.unread && !e.discard):
 		return true
 	}
-	return now.Sub(e.progressAt) >= lingerTimeout || now.Sub(e.began) >= maxLinger
+	return e.idle >= lingerTimeout || e.waited >= maxLinger
 }
 
 // linger ends the sending side and waits until the caller has received what was sent.
@@ -61,9 +69,8 @@
 	if !ok || sender.CloseWrite() != nil {
 		return
 	}
-	now := c.listener.opts.Now()
 	c.mu.Lock()
-	e := ending{began: now, progressAt: now, discard: !c.idleClosed && (c.state != idle || c.began)}
+	e := ending{lookedAt: c.listener.opts.Now(), discard: !c.idleClosed && (c.state != idle || c.began)}
 	c.mu.Unlock()
 	for {
 		s := c.socketState()
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -14,35 +14,50 @@
 // Guards against connections that are closed while the last response is on its way, or that never end.
 func TestEndingWaitsForDelivery(t *testing.T) {
 	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	step := func(d time.Duration, s socketState) func(e *ending) bool {
-		return func(e *ending) bool { return e.isOver(at(d), s) }
+	type look func(t *testing.T, e *ending) bool
+	// after looks after a pause of the process.
+	after := func(d time.Duration, s socketState) look {
+		return func(_ *testing.T, e *ending) bool { return e.isOver(at(d), s) }
+	}
+	// step looks on time until then, and finds the state then.
+	step := func(d time.Duration, s socketState) look {
+		return func(t *testing.T, e *ending) bool {
+			before := socketState{confirms: s.confirms, unconfirmed: e.unconfirmed}
+			for e.lookedAt.Before(at(d - lingerInterval)) {
+				require.False(t, e.isOver(e.lookedAt.Add(lingerInterval), before))
+			}
+			return e.isOver(at(d), s)
+		}
 	}
 	const most = maxLinger
 	tests := map[string]struct {
 		discard bool
-		steps   []func(e *ending) bool
+		steps   []look
 	}{
-		"caller closes":                   {true, []func(e *ending) bool{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"caller closes its sending side":  {true, []func(e *ending) bool{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"reset":                           {true, []func(e *ending) bool{step(0, socketState{failed: true})}},
-		"rest of a request":               {true, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"request crosses the end":         {false, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true})}},
-		"request crosses, not confirmed":  {false, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
-		"caller doesn't close":            {true, []func(e *ending) bool{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
-		"caller's machine is gone":        {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
-		"caller reads slowly":             {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
-		"caller reads slowly for long":    {true, []func(e *ending) bool{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
-		"confirmations unknown, closes":   {true, []func(e *ending) bool{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
-		"confirmations unknown, stays on": {true, []func(e *ending) bool{step(0, socketState{}), step(lingerTimeout, socketState{})}},
+		"caller closes":                   {true, []look{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"caller closes its sending side":  {true, []look{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"reset":                           {true, []look{step(0, socketState{failed: true})}},
+		"rest of a request":               {true, []look{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"request crosses the end":         {false, []look{step(0, socketState{confirms: true, unread: true})}},
+		"request crosses, not confirmed":  {false, []look{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
+		"caller doesn't close":            {true, []look{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
+		"caller's machine is gone":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
+		"caller reads slowly":             {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
+		"caller reads slowly for long":    {true, []look{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
+		"paused before the first look":    {true, []look{after(3*lingerTimeout, socketState{confirms: true, unconfirmed: 100}), step(3*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
+		"paused between two looks":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerInterval, socketState{confirms: true, unconfirmed: 9}), after(2*lingerTimeout, socketState{confirms: true, unconfirmed: 9}), step(2*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
+		"paused beyond the limit":         {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), after(2*most, socketState{confirms: true, unconfirmed: 8}), step(2*most+lingerInterval, socketState{confirms: true, closed: true})}},
+		"confirmations unknown, closes":   {true, []look{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
+		"confirmations unknown, stays on": {true, []look{step(0, socketState{}), step(lingerTimeout, socketState{})}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := &ending{began: at(0), progressAt: at(0), unconfirmed: 100, discard: tt.discard}
+			e := &ending{lookedAt: at(0), unconfirmed: 100, discard: tt.discard}
 			if name == "caller reads slowly for long" {
-				e.progressAt = at(most - lingerTimeout)
+				e.lookedAt, e.waited = at(most-lingerTimeout), most-lingerTimeout
 			}
 			for i, over := range tt.steps {
-				require.Equal(t, i == len(tt.steps)-1, over(e), "step %d", i)
+				require.Equal(t, i == len(tt.steps)-1, over(t, e), "step %d", i)
 			}
 		})
 	}
