Read what has arrived before a deadline that is found over late

What callers would see: a request that they sent in time is answered 408, or its connection is closed, as its instance got no processor across the read timeout.

Cause: a read that begins or wakes after its deadline fails without a look at the socket. A process that didn't run finds the deadline over first, and the bytes that arrived before it aren't read.

A read that timed out takes what the socket holds, in the same step in which any read takes it.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -138,7 +138,7 @@
 func (c *Conn) read(p []byte, received func(n int)) (int, error) {
 	var n int
 	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
+	take := func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.ending {
@@ -157,7 +157,11 @@
 		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		c.gone = c.gone || n <= 0 && !c.waiting
 		return !c.waiting
-	})
+	}
+	err := c.socket.Read(take)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.look(take) {
+		err = nil
+	}
 	if err != nil && c.stopWaiting() {
 		return 0, io.EOF
 	}
@@ -174,6 +178,13 @@
 	return n, nil
 }
 
+// look takes what has arrived before the deadline was found over, and reports whether there was anything. The system
+// reports a deadline first if the process didn't run meanwhile.
+func (c *Conn) look(take func(fd uintptr) (done bool)) (done bool) {
+	err := c.socket.Control(func(fd uintptr) { done = take(fd) })
+	return err == nil && done
+}
+
 // Write implements [net.Conn].
 func (c *Conn) Write(p []byte) (int, error) {
 	if t := c.listener.opts.WriteTimeout; t > 0 {
