Read streams after a pause before they count as stalled

What callers saw: a stream ends before its last event, at instances without detectSilence, although its server has sent all of it.

Cause: a stream without events for 0.9 s is moved, and cut after 2.5 s if its engine doesn't know it. A process that didn't run for so long took the silence for the engine's; the events waited in its sockets. Detection of silence allows for such gaps, this older rule didn't.

The silence of a stream counts from when the process last resumed.

--- a/internal/ingress/active_streams.go
+++ b/internal/ingress/active_streams.go
@@ -159,13 +159,17 @@
 	a.lastEventAt, a.abort = now, abort
 }
 
-// stalledFor returns how long a started stream has been without events.
-func (a *activeStream) stalledFor(now time.Time) time.Duration {
+// stalledFor returns how long a started stream has been without events. Those of the time before the process
+// resumed may wait in its sockets.
+func (a *activeStream) stalledFor(now, resumed time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.events == 0 || a.cuttingOver || a.done || a.writing {
 		return 0
 	}
+	if resumed.After(a.lastEventAt) {
+		return now.Sub(resumed)
+	}
 	return now.Sub(a.lastEventAt)
 }
 
--- a/internal/ingress/migrations.go
+++ b/internal/ingress/migrations.go
@@ -54,6 +54,7 @@
 		case <-ticker.C:
 		case <-s.silence.probeEnded():
 		}
+		s.runs.resumed(s.opts.Now())
 		s.watchLeaving(s.opts.Now())
 		s.pollReports(ctx, lastPolled)
 		all := s.streams.list()
@@ -85,7 +86,7 @@
 // isStalled reports whether a stream has been without events for too long.
 func (s *Server) isStalled(st *activeStream) bool {
 	e := st.request.service.Engine
-	return s.silence == nil && e != nil && e.SupportsMigration && st.stalledFor(s.opts.Now()) > streamStallTimeout
+	return s.silence == nil && e != nil && e.SupportsMigration && st.stalledFor(s.opts.Now(), s.runs.resumed(s.opts.Now())) > streamStallTimeout
 }
 
 // migrateStalled migrates the generation of a stalled stream to another engine.
@@ -105,7 +106,7 @@
 	if err != nil {
 		m.releaseReservation()
 		st.cancelCutover()
-		if status == http.StatusNotFound && st.stalledFor(s.opts.Now()) >= streamLostTimeout {
+		if status == http.StatusNotFound && st.stalledFor(s.opts.Now(), s.runs.resumed(s.opts.Now())) >= streamLostTimeout {
 			st.abortRead()
 		}
 		return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -167,6 +167,9 @@
 	// silence is nil if [Options.DetectSilence] is off.
 	silence *silenceDetector
 
+	// runs notices when this process didn't run.
+	runs runWatch
+
 	mu     sync.Mutex
 	closed bool
 	// serveDone is closed when serving has ended; nil before it starts.
