Refuse requests by the earliest time at which SIGTERM may have been sent

What callers would see: beside busy processes, a booking on a kept connection is cut by the platform's kill, although a server ran it.

Cause: the delay of a signal was taken from the last gap alone. A process that gets little processor time between several gaps handles SIGTERM later than that.

Gaps with less than half a second of running between them count as one, for two seconds at most, for the decision which requests are refused as not run. What runs is cut by the last gap, as before: a cut too early would lose what a later kill may not. The new cases of TestSignalIsDatedBeforeThePause show the decision.

--- a/internal/ingressserve/grace.go
+++ b/internal/ingressserve/grace.go
@@ -14,6 +14,10 @@
 	// signalDelay is the maximum time from the moment at which a process runs again until it handles a signal that
 	// was sent before.
 	signalDelay = 250 * time.Millisecond
+	// starvedRunTime is the time in which a process that runs now and then may not get to handle a signal, and
+	// maxSignalDelay limits how long before its handling it is taken to have been sent for that reason.
+	starvedRunTime = 500 * time.Millisecond
+	maxSignalDelay = 2 * time.Second
 	// catchUpTime is how long a process that didn't run passes on what has arrived meanwhile, and maxOverrun is how
 	// far beyond the end of the grace period. The rest of exitMargin is for the exit.
 	catchUpTime = 200 * time.Millisecond
@@ -53,8 +57,9 @@
 // runWatch notices when the process didn't run. Its zero value is ready to use.
 type runWatch struct {
 	mu sync.Mutex
-	// last is when the process last ran, stoppedAt and resumedAt are the ends of the last gap.
-	last, stoppedAt, resumedAt time.Time
+	// last is when the process last ran, stoppedAt and resumedAt are the ends of the last gap. starvedSince is the
+	// begin of the first one in a series between which the process ran too little to handle signals.
+	last, stoppedAt, resumedAt, starvedSince time.Time
 }
 
 // observe notes that the process runs.
@@ -62,20 +67,36 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.last.IsZero() && now.Sub(w.last) > maxRunGap {
+		if w.resumedAt.IsZero() || w.last.Sub(w.resumedAt) > starvedRunTime {
+			w.starvedSince = w.last
+		}
 		w.stoppedAt, w.resumedAt = w.last, now
 	}
 	w.last = now
 }
 
-// sentAt returns the earliest time at which a signal that is handled now may have been sent.
-func (w *runWatch) sentAt(now time.Time) time.Time {
+// sentAt returns when a signal that is handled now was probably sent, and the earliest time at which it may have been.
+func (w *runWatch) sentAt(now time.Time) (probably, earliest time.Time) {
 	w.observe(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.resumedAt.IsZero() || now.Sub(w.resumedAt) > signalDelay {
-		return now
+	probably, earliest = now, now
+	if w.resumedAt.IsZero() {
+		return probably, earliest
+	}
+	if now.Sub(w.resumedAt) <= starvedRunTime {
+		earliest = w.starvedSince
+		if limit := now.Add(-maxSignalDelay); earliest.Before(limit) {
+			earliest = limit
+		}
+	}
+	if now.Sub(w.resumedAt) <= signalDelay {
+		probably = w.stoppedAt
+	}
+	if probably.Before(earliest) {
+		earliest = probably
 	}
-	return w.stoppedAt
+	return probably, earliest
 }
 
 // run observes until ctx ends.
--- a/internal/ingressserve/grace_test.go
+++ b/internal/ingressserve/grace_test.go
@@ -11,18 +11,21 @@
 
 // Guards against grace periods that are counted from a signal that the process handled late.
 func TestSignalIsDatedBeforeThePause(t *testing.T) {
+	const ms = time.Millisecond
 	tests := map[string]struct {
-		observed   []time.Duration
-		handled    time.Duration
-		wantSentAt time.Duration
+		observed                            []time.Duration
+		handled, wantProbably, wantEarliest time.Duration
 	}{
-		"runs":                       {observed: []time.Duration{0, runInterval, 2 * runInterval}, handled: 2*runInterval + 10, wantSentAt: 2*runInterval + 10},
-		"first note after the pause": {observed: []time.Duration{0, runInterval}, handled: 3 * time.Second, wantSentAt: runInterval},
-		"noted after the pause":      {observed: []time.Duration{0, 3 * time.Second, 3*time.Second + maxRunGap}, handled: 3*time.Second + signalDelay, wantSentAt: 0},
-		"pause is long over":         {observed: []time.Duration{0, 3 * time.Second, 3*time.Second + maxRunGap}, handled: 3*time.Second + signalDelay + 1, wantSentAt: 3*time.Second + signalDelay + 1},
-		"short delay":                {observed: []time.Duration{0, maxRunGap}, handled: 2 * maxRunGap, wantSentAt: 2 * maxRunGap},
-		"two pauses":                 {observed: []time.Duration{0, time.Second, time.Second + runInterval}, handled: 2 * time.Second, wantSentAt: time.Second + runInterval},
-		"starts":                     {handled: time.Second, wantSentAt: time.Second},
+		"runs":                       {[]time.Duration{0, runInterval, 2 * runInterval}, 2*runInterval + 10, 2*runInterval + 10, 2*runInterval + 10},
+		"first note after the pause": {[]time.Duration{0, runInterval}, 3 * time.Second, runInterval, runInterval},
+		"noted after the pause":      {[]time.Duration{0, 1000 * ms, 1200 * ms}, 1000*ms + signalDelay, 0, 0},
+		"runs little after it":       {[]time.Duration{0, 1000 * ms, 1200 * ms, 1400 * ms}, 1000*ms + starvedRunTime, 1000*ms + starvedRunTime, 0},
+		"pause is long over":         {[]time.Duration{0, 1000 * ms, 1200 * ms, 1400 * ms}, 1000*ms + starvedRunTime + 1, 1000*ms + starvedRunTime + 1, 1000*ms + starvedRunTime + 1},
+		"short delay":                {[]time.Duration{0, maxRunGap}, 2 * maxRunGap, 2 * maxRunGap, 2 * maxRunGap},
+		"series":                     {[]time.Duration{0, 400 * ms, 500 * ms, 900 * ms, 950 * ms}, 1300 * ms, 950 * ms, 0},
+		"long series":                {[]time.Duration{0, 1000 * ms, 2000 * ms, 3000 * ms}, 3100 * ms, 2000 * ms, 3100*ms - maxSignalDelay},
+		"two pauses":                 {[]time.Duration{0, 400 * ms, 600 * ms, 800 * ms, 1000 * ms}, 1400 * ms, 1000 * ms, 1000 * ms},
+		"starts":                     {nil, time.Second, time.Second, time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -30,7 +33,9 @@
 			for _, d := range tt.observed {
 				w.observe(at(d))
 			}
-			require.Equal(t, at(tt.wantSentAt), w.sentAt(at(tt.handled)))
+			probably, earliest := w.sentAt(at(tt.handled))
+			require.Equal(t, at(tt.wantProbably), probably)
+			require.Equal(t, at(tt.wantEarliest), earliest)
 		})
 	}
 }
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -238,11 +238,12 @@
 // leave sends callers to other instances, lets requests complete and closes the server.
 func (in *instance) leave() {
 	now := time.Now()
-	told := in.runs.sentAt(now)
+	told, earliest := in.runs.sentAt(now)
 	end := told.Add(in.grace())
-	in.server.Drain(told)
+	// Requests that may last beyond the end are refused by the earliest one, running requests are cut by the probable.
+	in.server.Drain(earliest)
 	in.dialPeer.Drain()
-	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Dur("signalDelay", now.Sub(told)).Msg("instance leaves")
+	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Dur("signalDelay", now.Sub(told)).Dur("maxSignalDelay", now.Sub(earliest)).Msg("instance leaves")
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	in.gossip.BroadcastLeaving()
