Promote versions only on answers that say something about them

Cause: the canary's time ran out in an outage of all plain servers. The log says 'promoted: 17 of 20 answers failed, likelihood ratio 1.09', with 186 of 258 of the old version: both failed alike, and 20 answers counted as enough evidence.

A promotion now needs as many answers as would have succeeded on the old version at the same time, without the server with the most answers.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -19,7 +21,7 @@
 	promotionShare   = 0.4
 	minPromotionTime = 3500 * time.Millisecond
 	maxPromotionTime = 10 * time.Second
-	// minSamples is the number of answers of the new version that a promotion requires,
+	// minSamples is the number of informative answers of the new version that a promotion requires,
 	// minSamplesAtDeadline that which it requires when the canary can't wait any longer.
 	minSamples           = 20
 	minSamplesAtDeadline = 10
@@ -178,8 +180,9 @@
 // evaluateCanary ends the canary once there is enough evidence, or when its time is over.
 func (c *Controller) evaluateCanary(now time.Time, v View, counts *Counts) {
 	number, failed := counts.Total(Canary)
+	informative := informativeSamples(counts)
 	remaining := c.Spec.Duration - now.Sub(c.startedAt)
-	enoughSamples := number >= minSamples
+	enoughSamples := informative >= minSamples
 	switch {
 	case c.Evidence.Ratio >= immediateRollBackRatio:
 		c.advance(StageRollingBack, "bad: "+c.Evidence.Reason)
@@ -187,13 +190,26 @@
 		return
 	case c.Evidence.Ratio >= deadlineRollBackRatio && number >= minSamplesAtDeadline:
 		c.advance(StageRollingBack, "rolled back at the deadline: "+c.Evidence.Reason)
-	case enoughSamples && c.enoughServers(v), remaining <= minRemaining && number >= minSamplesAtDeadline && c.enoughServers(v):
+	case enoughSamples && c.enoughServers(v), remaining <= minRemaining && informative >= minSamplesAtDeadline && c.enoughServers(v):
 		c.advance(StagePromoting, fmt.Sprintf("promoted: %d of %d answers failed, likelihood ratio %.2f", failed, number, c.Evidence.Ratio))
 	case remaining <= minRemaining:
-		c.advance(StageRollingBack, fmt.Sprintf("rolled back for lack of samples or servers: %d answers, %d new and %d old servers", number, v.NewServers, v.OldServers))
+		c.advance(StageRollingBack, fmt.Sprintf("rolled back for lack of samples or servers: %d answers, %.0f of them informative, %d new and %d old servers", number, informative, v.NewServers, v.OldServers))
 	}
 }
 
+// informativeSamples returns how many answers of the new version would have succeeded on the old one: while both
+// fail for another reason, such as an outage, the others say nothing about the new version. Its server with the
+// most answers is left out, as the comparison may leave it out.
+func informativeSamples(counts *Counts) float64 {
+	number, _ := counts.Total(Canary)
+	byServer := counts.byServer()
+	if len(byServer) >= minServersToExclude {
+		number -= slices.Max(slices.Collect(maps.Values(byServer)))
+	}
+	stable, failed := counts.Total(Stable)
+	return float64(number) * (1 - float64(failed)/float64(max(1, stable)))
+}
+
 func (c *Controller) promotionTime() time.Duration {
 	return min(maxPromotionTime, max(minPromotionTime, time.Duration(float64(c.Spec.Duration)*promotionShare)))
 }
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -133,6 +133,17 @@
 	return number, failed
 }
 
+// byServer returns the number of answers of each server of the new version.
+func (c *Counts) byServer() map[string]int {
+	out := map[string]int{}
+	for key, cell := range c.cells {
+		if key.track == Canary && key.metric == MetricAnswer {
+			out[key.server] += cell.Count
+		}
+	}
+	return out
+}
+
 // bucket returns the histogram bucket of a latency.
 func bucket(d time.Duration) int {
 	millis := max(float64(d)/float64(time.Millisecond), 0.1)
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -35,6 +35,8 @@
 	flaky int
 	// burst multiplies all latencies in the second quarter of the duration.
 	burst bool
+	// outage makes most answers of both versions fail until the canary has to end.
+	outage bool
 	// partitioned is the number of instances that can't reach the coordinator.
 	partitioned int
 	// restart restarts the coordinator halfway through.
@@ -64,6 +66,8 @@
 	typicalLatency   = 60.0
 	flakyFailureRate = 0.4
 	burstSlowdown    = 3.0
+	// outageFailureRate is the part of all answers that fail in an outage.
+	outageFailureRate = 0.7
 )
 
 func (f fleet) simulate(seed uint64, v version) outcome {
@@ -176,6 +180,9 @@
 func (f fleet) answer(rng *rand.Rand, route string, age time.Duration, server int) (failed bool, latency float64) {
 	failed = rng.Float64() < f.failureRates[route] || server < f.flaky && rng.Float64() < flakyFailureRate
 	latency = typicalLatency * math.Exp(rng.NormFloat64()*0.5)
+	if f.outage && age < f.duration*2/3 {
+		failed = failed || rng.Float64() < outageFailureRate
+	}
 	if f.burst && age > f.duration/4 && age < f.duration/2 {
 		latency *= burstSlowdown
 	}
@@ -251,6 +258,7 @@
 		{name: "30 in 100 fail", v: version{failing: 0.3}},
 		{name: "60 in 100 fail", v: version{failing: 0.6}},
 		{name: "30 in 100 fail after a while", v: version{failing: 0.3, onset: 0.35}, maxBad: [3]int{40, 15, 0}},
+		{name: "50 in 100 fail, outage", v: version{failing: 0.5}, f: func(f *fleet) { f.outage = true }, maxBad: [3]int{15, 5, 0}},
 		{name: "50 in 100 fail on one route", v: version{failing: 0.5, route: "a"}},
 		{name: "all two times slower", v: version{slow: 1, slowdown: 2}, maxBad: [3]int{10, 0, 0}},
 		{name: "all eight times slower", v: version{slow: 1, slowdown: 8}},
