Say why an instance ends and keep its last log lines

Operators saw instances end without a reason, and the log of an instance that was cut or whose log wasn't read said less than it had written:

- the line "instance leaves" had no reason; SIGTERM, SIGINT and a failed listener looked alike
- a peers' address in use ended the start without a line in the log
- lines that found no room were dropped without a count, though the comment promised one
- an instance whose output nobody reads never ended: closing the writer waited for the reader
- a panic of a background task ended the process with what waited to be written

The library's writer also wakes its reader without a lock, so that a line may wait for the next one, and logs collisions through the standard logger, which leads back to it. internal/logqueue replaces it: a channel, a count of what was dropped, and a close that waits up to 2 s, and no longer than the grace period allows.

The last line of a process that ends by a signal was there before, too.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -18,7 +19,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
@@ -26,6 +26,7 @@
 	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/ingress"
 	"pollenspindle.example/pollenspindle/internal/lengthpeer"
+	"pollenspindle.example/pollenspindle/internal/logqueue"
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/originpeer"
@@ -66,6 +67,9 @@
 	maxAnswerBytes = 4 << 20
 	// exitMargin is the part of the grace period that is reserved for the process to exit.
 	exitMargin = 400 * time.Millisecond
+	// minFlushTime and maxFlushTime limit the wait until the last log lines are written.
+	minFlushTime = 200 * time.Millisecond
+	maxFlushTime = 2 * time.Second
 	// minLeaveTime is how long an instance keeps serving after it has announced that it leaves:
 	// callers that learned of it before open new connections.
 	minLeaveTime      = 2500 * time.Millisecond
@@ -139,6 +143,10 @@
 	dialer         *serverdial.Dialer
 	dialPeer       *dialpeer.Peer
 	startedAt      time.Time
+	// out is where the log lines go.
+	out *logqueue.Queue
+	// endsBy is when the grace period ends; zero until the instance leaves.
+	endsBy time.Time
 	// sharesLimits is set while this instance has its part of limits that all instances share.
 	sharesLimits atomic.Bool
 	retries      *retry.SharedBudgets
@@ -153,8 +161,14 @@
 	if mb := opts.Settings.MemoryMegabytes; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
-	out := diode.NewWriter(opts.Streams.Out, maxLogLines, 0, nil)
-	defer func() { _ = out.Close() }()
+	var log zerolog.Logger
+	out := logqueue.New(opts.Streams.Out, logqueue.Options{Capacity: maxLogLines, Dropped: func(w io.Writer, n int64) {
+		l := log.Output(w)
+		l.Warn().Int64("dropped", n).Msg("log lines dropped")
+	}})
+	in := &instance{opts: opts, now: opts.Now, cfg: opts.Settings, out: out}
+	// An output that isn't read takes no line about it either.
+	defer func() { _ = out.Close(flushTime(time.Now(), in.endsBy)) }()
 	cfg := opts.Settings
 	tel, err := telemetry.New(telemetry.Options{
 		Settings: settings.Settings{Instance: cfg.Instance, Zone: cfg.Zone, Log: cfg.Log, Trace: cfg.Trace},
@@ -163,51 +177,67 @@
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
+	log = telemetry.ComponentLogger(tel.Log, "serve")
 	telemetry.CaptureLibraries(tel.Log)
 	if opts.Now == nil {
-		opts.Now = time.Now
+		in.opts.Now, in.now = time.Now, time.Now
 	}
-	in := &instance{opts: opts, now: opts.Now, cfg: cfg, tel: tel, log: telemetry.ComponentLogger(tel.Log, "serve"), startedAt: opts.Now()}
+	in.tel, in.log, in.startedAt = tel, log, in.now()
 	if err := in.build(ctx); err != nil {
-		in.log.Error().Err(err).Msg("instance can't start")
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return in.failStart(err)
 	}
 	return in.run(ctx)
 }
 
+func (in *instance) failStart(err error) error {
+	in.log.Error().Err(err).Msg("instance can't start")
+	return merry.Wrap(ErrStart, merry.WithCause(err))
+}
+
+// flushTime returns how long an instance that ends waits for its last log lines to be written.
+func flushTime(now, endsBy time.Time) time.Duration {
+	if endsBy.IsZero() {
+		return maxFlushTime
+	}
+	return min(maxFlushTime, max(minFlushTime, endsBy.Sub(now)))
+}
+
 // run starts the components, waits for the end of ctx, and leaves.
 func (in *instance) run(ctx context.Context) error {
 	peers, err := listen(ctx, in.cfg.PeerAddress)
 	if err != nil {
-		return merry.Wrap(ErrStart, merry.WithCause(err))
+		return in.failStart(err)
 	}
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed := make(chan error, 2)
-	in.background.Go(func() { in.follower.Run(backgroundCtx) })
-	in.background.Go(func() { in.gossip.Run(backgroundCtx) })
-	in.background.Go(func() { in.planner.Run(backgroundCtx) })
-	in.background.Go(func() { in.suspectObjects.Run(backgroundCtx) })
-	in.background.Go(func() { in.outliers.Run(backgroundCtx) })
+	in.start(func() { in.follower.Run(backgroundCtx) })
+	in.start(func() { in.gossip.Run(backgroundCtx) })
+	in.start(func() { in.planner.Run(backgroundCtx) })
+	in.start(func() { in.suspectObjects.Run(backgroundCtx) })
+	in.start(func() { in.outliers.Run(backgroundCtx) })
 	if in.lengths != nil {
-		in.background.Go(func() { in.lengths.Run(backgroundCtx) })
+		in.start(func() { in.lengths.Run(backgroundCtx) })
 	}
 	if in.rollouts != nil {
-		in.background.Go(func() { in.rollouts.Run(backgroundCtx) })
+		in.start(func() { in.rollouts.Run(backgroundCtx) })
 	}
-	in.background.Go(func() { in.observeLimits(backgroundCtx) })
-	in.background.Go(func() { in.watchSettings(backgroundCtx) })
-	in.background.Go(func() { in.serveMetrics(backgroundCtx) })
-	in.background.Go(func() { in.freeStartupMemory(backgroundCtx) })
-	go func() { failed <- in.gossip.Serve(backgroundCtx, peers) }()
-	go func() { failed <- in.server.Run(backgroundCtx) }()
+	in.start(func() { in.observeLimits(backgroundCtx) })
+	in.start(func() { in.watchSettings(backgroundCtx) })
+	in.start(func() { in.serveMetrics(backgroundCtx) })
+	in.start(func() { in.freeStartupMemory(backgroundCtx) })
+	go in.guard(func() { failed <- in.gossip.Serve(backgroundCtx, peers) })
+	go in.guard(func() { failed <- in.server.Run(backgroundCtx) })
 	in.log.Info().Str("callers", in.cfg.CallerAddress).Str("peers", in.cfg.PeerAddress).Msg("instance serves")
+	reason := ""
 	select {
 	case <-ctx.Done():
+		reason = context.Cause(ctx).Error()
 	case err = <-failed:
 		in.log.Error().Err(err).Msg("a listener failed")
+		reason = "a listener failed"
 	}
-	in.leave()
+	in.leave(reason)
 	stop()
 	in.background.Wait()
 	in.log.Info().Msg("instance has left")
@@ -215,6 +245,25 @@
 	return err
 }
 
+// start runs a task that ends with the instance.
+func (in *instance) start(task func()) {
+	in.background.Go(func() { in.guard(task) })
+}
+
+// guard logs a panic of a task, which ends the process.
+func (in *instance) guard(task func()) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		in.log.Error().Interface("panic", r).Bytes("stack", debug.Stack()).Msg("instance ends, a task panicked")
+		_ = in.out.Close(minFlushTime)
+		panic(r)
+	}()
+	task()
+}
+
 // freeStartupMemory returns the memory of the start to the operating system, once: reading the state of
 // thousands of servers takes several times as much as holding it, and the collector keeps the rest.
 func (in *instance) freeStartupMemory(ctx context.Context) {
@@ -234,13 +283,14 @@
 }
 
 // leave sends callers to other instances, lets requests complete and closes the server.
-func (in *instance) leave() {
+func (in *instance) leave(reason string) {
 	now := time.Now()
 	grace := in.grace()
+	in.endsBy = now.Add(grace)
 	in.server.Drain(now)
 	in.dialPeer.Drain()
-	in.log.Info().Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Msg("instance leaves")
-	ctx, cancel := context.WithDeadline(context.Background(), now.Add(grace))
+	in.log.Info().Str("reason", reason).Int64("running", in.server.Running()).Int("relayed", in.dialPeer.Relayed()).Msg("instance leaves")
+	ctx, cancel := context.WithDeadline(context.Background(), in.endsBy)
 	defer cancel()
 	in.gossip.BroadcastLeaving()
 	in.origins.HandOver(ctx)
