Keep running when nobody reads the log any more

An instance whose log reader had ended was ended by SIGPIPE with its next line: its callers' connections were reset in the middle of their requests, and nothing was logged. The Go runtime ends a process for a failed write to its standard output unless the signal is handled. It is ignored now; the write fails, and the instance serves.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -12,9 +12,11 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -161,6 +163,8 @@
 	if mb := opts.Settings.MemoryMegabytes; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
+	// A write to an output that nobody reads any more would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	var log zerolog.Logger
 	out := logqueue.New(opts.Streams.Out, logqueue.Options{Capacity: maxLogLines, Dropped: func(w io.Writer, n int64) {
 		l := log.Output(w)
