End only the request whose handler panics

A panic in the handler of a callers' instance ended the process, and all requests in progress with it. Their connections were reset, and the log held no line in its format: the Go runtime prints the stack to standard error. The own interface (internal/caller) recovers already.

The handler of a request is recovered now. The line "handler panicked" has the request's ID and the stack; the caller gets 502, which promises nothing, or the connection is closed without the terminating chunk if the response has begun. Fields of a server's response that were set are dropped.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -242,6 +243,7 @@
 			return nil, err
 		}
 		h := newHertz(*listen.on)
+		h.Use(s.recoverPanic)
 		listen.route(h)
 		s.hertz = append(s.hertz, h)
 	}
@@ -427,6 +429,28 @@
 	}
 }
 
+// recoverPanic ends the request of a handler that panics, instead of the process, which serves many others.
+func (s *Server) recoverPanic(ctx context.Context, c *app.RequestContext) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		s.opts.Scope.Counter("panics").Inc(1)
+		s.log.Error().Bytes("request", c.GetHeader(s.fields.RequestID)).Interface("panic", r).Bytes("stack", debug.Stack()).Msg("handler panicked")
+		if w, ok := c.Response.GetHijackWriter().(*abortableWriter); ok {
+			w.aborted = true
+			c.SetConnectionClose()
+			return
+		}
+		// The head may be that of a server's response.
+		c.Response.Header.ResetSkipNormalize()
+		c.SetConnectionClose()
+		s.writeFailure(c, nil, &answer.Failure{Status: http.StatusBadGateway, Code: answer.CodeInternal, Outcome: answer.OutcomeUnknown, Message: "internal failure"})
+	}()
+	c.Next(ctx)
+}
+
 // writeFailure responds with a failure of this instance.
 func (s *Server) writeFailure(c *app.RequestContext, r *request, err error) {
 	f := answer.FromError(err)
