--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -1,9 +1,6 @@
 package callerconn
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 // endedBy says who ended a connection.
 type endedBy string
@@ -35,8 +32,6 @@
 // holds returns what the connection holds; mu is held.
 func (c *Conn) holds() held {
 	switch {
-	case c.aborted:
-		return c.heldAtAbort
 	case c.state == handling:
 		return heldRequest
 	case c.state == answered:
@@ -64,13 +59,16 @@
 func (l *Listener) recordEnd(c *Conn) {
 	s := c.socketState()
 	c.mu.Lock()
-	by, held, request, answeredAt := c.end(), c.holds(), c.request, c.answeredAt
+	by, held, request, answeredAt := c.end(), c.held, c.request, c.answeredAt
 	c.mu.Unlock()
-	confirmed := "unknown"
-	if s.confirms {
-		confirmed = strconv.FormatBool(s.unconfirmed == 0)
+	result := "unknown"
+	switch {
+	case s.confirms && s.unconfirmed == 0:
+		result = "confirmed"
+	case s.confirms:
+		result = "unconfirmed"
 	}
-	l.opts.Scope.Tagged(map[string]string{"endedBy": string(by), "held": string(held), "confirmed": confirmed}).Counter("connections_ended").Inc(1)
+	l.opts.Scope.Tagged(map[string]string{"reason": string(by), "kind": string(held), "result": result}).Counter("connections_ended").Inc(1)
 	if !l.draining.Load() {
 		return
 	}
@@ -89,6 +87,9 @@
 func (l *Listener) recordUnwritten(c *Conn, err error) {
 	c.mu.Lock()
 	held, request, aborted, gone := c.holds(), c.request, c.aborted, c.gone
+	if c.ending {
+		held = c.held
+	}
 	c.mu.Unlock()
 	if held != heldRequest && held != heldResponse {
 		request = ""
