--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -50,6 +50,8 @@
 	// idleClosed is set if it was closed as idle.
 	idleClosed bool
 	recordEnd  sync.Once
+	// recordUnwritten makes the first failed write of a connection be logged.
+	recordUnwritten sync.Once
 	// gone is set once the caller has closed its end, or the connection has failed.
 	gone bool
 	// request is the ID of the last request, answeredAt when its handling ended.
@@ -181,7 +183,11 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
+	}
+	return n, err
 }
 
 // SetReadDeadline implements [net.Conn].
