Log connections that were reset as failed

What operators would see: 'connection ended' with callerClosed and no unconfirmed bytes for a response whose caller has reset the connection.

Cause: the system reports the error of a socket once. A read, a write or the wait of an ending connection took it, and the next look found a closed socket without unconfirmed bytes.

The failure of a connection is now kept. The three cases of TestResetIsLogged failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -52,8 +52,9 @@
 	recordEnd  sync.Once
 	// recordUnwritten makes the first failed write of a connection be logged.
 	recordUnwritten sync.Once
-	// gone is set once the caller has closed its end, or the connection has failed.
-	gone bool
+	// gone is set once the caller has closed its end, or the connection has failed; failed is set for the latter:
+	// the system reports the error of a socket only once.
+	gone, failed bool
 	// request is the ID of the last request, answeredAt when its handling ended.
 	request    string
 	answeredAt time.Time
@@ -158,6 +159,7 @@
 		}
 		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		c.gone = c.gone || n <= 0 && !c.waiting
+		c.failed = c.failed || n < 0 && !c.waiting
 		return !c.waiting
 	})
 	if err != nil && c.stopWaiting() {
@@ -185,11 +187,26 @@
 	}
 	n, err := c.Conn.Write(p)
 	if err != nil {
+		c.recordFailure()
 		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
 	}
 	return n, err
 }
 
+// recordFailure records that the connection is broken, or that its caller doesn't read.
+func (c *Conn) recordFailure() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
+}
+
+// hasFailed reports whether the connection is broken.
+func (c *Conn) hasFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -63,6 +63,8 @@
 	c.mu.Unlock()
 	result := "unknown"
 	switch {
+	case s.failed:
+		result = "failed"
 	case s.confirms && s.unconfirmed == 0:
 		result = "confirmed"
 	case s.confirms:
@@ -73,7 +75,7 @@
 		return
 	}
 	line := l.opts.Log.Info().Stringer("caller", c.RemoteAddr()).Str("request", request).Str("endedBy", string(by)).Str("held", string(held)).
-		Bool("callerClosed", s.closed).Bool("reset", s.failed).Bool("unread", s.unread)
+		Bool("callerClosed", s.closed).Bool("failed", s.failed).Bool("unread", s.unread)
 	if s.confirms {
 		line = line.Int("unconfirmedBytes", s.unconfirmed)
 	}
--- a/internal/callerconn/ends_test.go
+++ b/internal/callerconn/ends_test.go
@@ -143,3 +143,39 @@
 		})
 	}
 }
+
+// Guards against resets that the log shows as responses that callers have received.
+func TestResetIsLogged(t *testing.T) {
+	post := "POST /a HTTP/1.1\r\nHost: a\r\nX-Id: id-1\r\nContent-Length: 1\r\n\r\n1"
+	reset := func(c *caller) {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	tests := map[string]func(f *fixture, c *caller){
+		"idle connection": func(_ *fixture, c *caller) { reset(c) },
+		"after its response": func(f *fixture, c *caller) {
+			c.send(post)
+			f.release <- struct{}{}
+			c.receive()
+			reset(c)
+		},
+		"while its request is handled": func(f *fixture, c *caller) {
+			c.send(post)
+			<-f.handled
+			reset(c)
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log logBuffer
+			f := start(t, Options{RequestID: "X-Id", Log: zerolog.New(&log)})
+			f.Drain()
+			c := f.dial()
+			require.Eventually(t, func() bool { return len(f.open()) == 1 }, testTimeout, time.Millisecond)
+			end(f, c)
+			require.Eventually(t, func() bool { return len(log.ends(t)) == 1 }, testTimeout, time.Millisecond)
+			require.Equal(t, true, log.ends(t)[0]["failed"])
+			require.Equal(t, false, log.ends(t)[0]["callerClosed"])
+		})
+	}
+}
--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -97,12 +97,19 @@
 		s.unread = true
 	case err == nil:
 		s.closed = true
-	default:
-		s.failed = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	case isFailure(err):
+		c.recordFailure()
 	}
+	s.failed = c.hasFailed()
+	s.closed = s.closed && !s.failed
 	return s
 }
 
+// isFailure reports whether the error of a look at a socket means that the connection is broken.
+func isFailure(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+}
+
 // discard drops bytes that wait to be read.
 func (c *Conn) discard() {
 	var p [4 << 10]byte
@@ -121,6 +128,9 @@
 	}
 	err := c.socket.Read(func(fd uintptr) bool {
 		_, err := peek(fd)
+		if isFailure(err) {
+			c.recordFailure()
+		}
 		return !errors.Is(err, syscall.EAGAIN)
 	})
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
