Don't handle requests whose connection was cut

What callers would see: their connection is cut, and their request then runs at a server.

Cause: a request that was read before the listener was closed, and whose handler began later, was handled like any other.

The step that begins a request now finds a connection that ends. TestRequestOnCutConnectionIsNotHandled failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -267,11 +267,16 @@
 	_ = c.Conn.Close()
 }
 
-// beginRequest names the request that is handled, and what is called if the caller leaves meanwhile.
-func (c *Conn) beginRequest(id string, onGone func()) {
+// beginRequest names the request that is handled, and what is called if the caller leaves meanwhile. It returns
+// false if the connection has been cut.
+func (c *Conn) beginRequest(id string, onGone func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ending {
+		return false
+	}
 	c.state, c.began, c.request, c.onGone = handling, false, id, onGone
+	return true
 }
 
 // endRequest ends the handling of a request; buffered says that bytes of the next one were read.
--- a/internal/callerconn/leaving_test.go
+++ b/internal/callerconn/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/stretchr/testify/require"
 )
 
@@ -97,3 +100,30 @@
 	}
 	require.Eventually(t, func() bool { return runtime.NumGoroutine() <= n+1 && len(f.open()) == 0 }, testTimeout, 10*time.Millisecond)
 }
+
+// Guards against requests that are handled although their connection was cut before.
+func TestRequestOnCutConnectionIsNotHandled(t *testing.T) {
+	tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l, err := NewListener(tcp, Options{})
+	require.NoError(t, err)
+	read, proceed, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	handled := false
+	h := server.New(append(l.ServerOptions(), server.WithDisablePrintRoute(true))...)
+	h.Use(func(ctx context.Context, c *app.RequestContext) {
+		close(read)
+		<-proceed
+		c.Next(ctx)
+		close(ended)
+	}, l.Handle)
+	h.NoRoute(func(context.Context, *app.RequestContext) { handled = true })
+	go func() { _ = h.Run() }()
+	f := &fixture{Listener: l, t: t}
+	require.Eventually(t, l.accepting.Load, testTimeout, time.Millisecond)
+	f.dial().send(request("/a", "1"))
+	<-read
+	_ = l.Close()
+	close(proceed)
+	<-ended
+	require.False(t, handled)
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -134,7 +134,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn.beginRequest(l.requestID(c), cancel)
+	if !conn.beginRequest(l.requestID(c), cancel) {
+		c.SetConnectionClose()
+		c.Abort()
+		return
+	}
 	defer func() {
 		conn.endRequest(c.GetReader().Len() > 0)
 		if l.draining.Load() && c.Response.GetHijackWriter() == nil {
