Wait for a caller that pauses as long at the end as in the middle

What callers would see: the rest of a response is lost with the machine of a leaving instance, since they, or their link, paused for a second.

Cause: a write may block for the write timeout, five seconds, but a connection that ends gave up unconfirmed bytes after one.

The wait for unconfirmed bytes now takes the write timeout; the second holds for a caller that has received all and doesn't close. TestUndeliveredResponseKeepsItsConnection and 'caller pauses' of TestEndingWaitsForDelivery failed before.

--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// lingerTimeout is how long a connection that ends waits for its caller while the caller's system confirms
-	// nothing more.
+	// lingerTimeout is how long a connection waits for its caller to close, once the caller's system has confirmed
+	// all bytes.
 	lingerTimeout = time.Second
 	// maxLinger limits the wait for a caller that reads slowly.
 	maxLinger = 10 * time.Second
@@ -19,13 +19,15 @@
 	maxLookGap = 2 * lingerInterval
 )
 
-// ending is the wait of a connection that has sent its last byte until the caller has received it.
-type ending struct {
+// lingering is the wait of a connection that has sent its last byte until the caller has received it.
+type lingering struct {
 	lookedAt time.Time
 	// waited is how long the wait has lasted, idle how long since the caller's system last confirmed bytes. A time in
 	// which the process didn't run isn't counted: the socket wasn't looked at.
 	waited, idle time.Duration
 	unconfirmed  int
+	// deliveryTimeout limits the wait while the caller's system confirms nothing more of what is unconfirmed.
+	deliveryTimeout time.Duration
 	// discard says that bytes of the caller are dropped. A close with bytes that weren't read resets the
 	// connection, which may take the last response away from the caller. Without discard such a reset tells the
 	// caller that its request wasn't read.
@@ -44,23 +46,27 @@
 }
 
 // isOver reports whether the connection may be closed.
-func (e *ending) isOver(now time.Time, s socketState) bool {
+func (l *lingering) isOver(now time.Time, s socketState) bool {
 	delivered := !s.confirms || s.unconfirmed == 0
-	elapsed := min(now.Sub(e.lookedAt), maxLookGap)
-	e.lookedAt = now
-	e.waited += elapsed
-	e.idle += elapsed
-	if s.unconfirmed < e.unconfirmed {
-		e.idle = 0
+	elapsed := min(now.Sub(l.lookedAt), maxLookGap)
+	l.lookedAt = now
+	l.waited += elapsed
+	l.idle += elapsed
+	if s.unconfirmed < l.unconfirmed {
+		l.idle = 0
 	}
-	e.unconfirmed = s.unconfirmed
+	l.unconfirmed = s.unconfirmed
 	switch {
 	case s.failed:
 		return true
-	case delivered && (s.closed || s.unread && !e.discard):
+	case delivered && (s.closed || s.unread && !l.discard):
 		return true
 	}
-	return e.idle >= lingerTimeout || e.waited >= maxLinger
+	timeout := lingerTimeout
+	if !delivered {
+		timeout = max(timeout, l.deliveryTimeout)
+	}
+	return l.idle >= timeout || l.waited >= maxLinger
 }
 
 // linger ends the sending side and waits until the caller has received what was sent.
@@ -70,14 +76,14 @@
 		return
 	}
 	c.mu.Lock()
-	e := ending{lookedAt: c.listener.opts.Now(), discard: !c.idleClosed && (c.state != idle || c.began)}
+	wait := lingering{lookedAt: c.listener.opts.Now(), deliveryTimeout: c.listener.opts.WriteTimeout, discard: !c.idleClosed && (c.state != idle || c.began)}
 	c.mu.Unlock()
 	for {
 		s := c.socketState()
-		if e.isOver(c.listener.opts.Now(), s) {
+		if wait.isOver(c.listener.opts.Now(), s) {
 			return
 		}
-		if s.unread && e.discard {
+		if s.unread && wait.discard {
 			c.discard()
 			continue
 		}
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -14,14 +14,14 @@
 // Guards against connections that are closed while the last response is on its way, or that never end.
 func TestEndingWaitsForDelivery(t *testing.T) {
 	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	type look func(t *testing.T, e *ending) bool
+	type look func(t *testing.T, e *lingering) bool
 	// after looks after a pause of the process.
 	after := func(d time.Duration, s socketState) look {
-		return func(_ *testing.T, e *ending) bool { return e.isOver(at(d), s) }
+		return func(_ *testing.T, e *lingering) bool { return e.isOver(at(d), s) }
 	}
 	// step looks on time until then, and finds the state then.
 	step := func(d time.Duration, s socketState) look {
-		return func(t *testing.T, e *ending) bool {
+		return func(t *testing.T, e *lingering) bool {
 			before := socketState{confirms: s.confirms, unconfirmed: e.unconfirmed}
 			for e.lookedAt.Before(at(d - lingerInterval)) {
 				require.False(t, e.isOver(e.lookedAt.Add(lingerInterval), before))
@@ -29,33 +29,35 @@
 			return e.isOver(at(d), s)
 		}
 	}
-	const most = maxLinger
+	const most, stall = maxLinger, 3 * lingerTimeout
 	tests := map[string]struct {
-		discard bool
-		steps   []look
+		discard         bool
+		deliveryTimeout time.Duration
+		// waited is how long the connection has lingered before.
+		waited time.Duration
+		steps  []look
 	}{
-		"caller closes":                   {true, []look{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"caller closes its sending side":  {true, []look{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"reset":                           {true, []look{step(0, socketState{failed: true})}},
-		"rest of a request":               {true, []look{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"request crosses the end":         {false, []look{step(0, socketState{confirms: true, unread: true})}},
-		"request crosses, not confirmed":  {false, []look{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
-		"caller doesn't close":            {true, []look{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
-		"caller's machine is gone":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
-		"caller reads slowly":             {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
-		"caller reads slowly for long":    {true, []look{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
-		"paused before the first look":    {true, []look{after(3*lingerTimeout, socketState{confirms: true, unconfirmed: 100}), step(3*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
-		"paused between two looks":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerInterval, socketState{confirms: true, unconfirmed: 9}), after(2*lingerTimeout, socketState{confirms: true, unconfirmed: 9}), step(2*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
-		"paused beyond the limit":         {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), after(2*most, socketState{confirms: true, unconfirmed: 8}), step(2*most+lingerInterval, socketState{confirms: true, closed: true})}},
-		"confirmations unknown, closes":   {true, []look{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
-		"confirmations unknown, stays on": {true, []look{step(0, socketState{}), step(lingerTimeout, socketState{})}},
+		"caller pauses":                   {deliveryTimeout: stall, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(stall-1, socketState{confirms: true, unconfirmed: 9}), step(stall, socketState{confirms: true, closed: true})}},
+		"caller stalls":                   {deliveryTimeout: stall, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(stall-1, socketState{confirms: true, unconfirmed: 9}), step(stall, socketState{confirms: true, unconfirmed: 9})}},
+		"caller closes":                   {discard: true, steps: []look{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"caller closes its sending side":  {discard: true, steps: []look{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"reset":                           {discard: true, steps: []look{step(0, socketState{failed: true})}},
+		"rest of a request":               {discard: true, steps: []look{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
+		"request crosses the end":         {steps: []look{step(0, socketState{confirms: true, unread: true})}},
+		"request crosses, not confirmed":  {steps: []look{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
+		"caller doesn't close":            {discard: true, steps: []look{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
+		"caller's machine is gone":        {discard: true, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
+		"caller reads slowly":             {discard: true, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
+		"caller reads slowly for long":    {discard: true, waited: most - lingerTimeout, steps: []look{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
+		"paused before the first look":    {discard: true, steps: []look{after(3*lingerTimeout, socketState{confirms: true, unconfirmed: 100}), step(3*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
+		"paused between two looks":        {discard: true, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerInterval, socketState{confirms: true, unconfirmed: 9}), after(2*lingerTimeout, socketState{confirms: true, unconfirmed: 9}), step(2*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
+		"paused beyond the limit":         {discard: true, steps: []look{step(0, socketState{confirms: true, unconfirmed: 9}), after(2*most, socketState{confirms: true, unconfirmed: 8}), step(2*most+lingerInterval, socketState{confirms: true, closed: true})}},
+		"confirmations unknown, closes":   {discard: true, steps: []look{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
+		"confirmations unknown, stays on": {discard: true, steps: []look{step(0, socketState{}), step(lingerTimeout, socketState{})}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := &ending{lookedAt: at(0), unconfirmed: 100, discard: tt.discard}
-			if name == "caller reads slowly for long" {
-				e.lookedAt, e.waited = at(most-lingerTimeout), most-lingerTimeout
-			}
+			e := &lingering{lookedAt: at(tt.waited), waited: tt.waited, unconfirmed: 100, discard: tt.discard, deliveryTimeout: tt.deliveryTimeout}
 			for i, over := range tt.steps {
 				require.Equal(t, i == len(tt.steps)-1, over(t, e), "step %d", i)
 			}
@@ -136,3 +138,17 @@
 		})
 	}
 }
+
+// Guards against responses that are given up sooner at the end of their connection than in its middle.
+func TestUndeliveredResponseKeepsItsConnection(t *testing.T) {
+	f := start(t, Options{ReadTimeout: testTimeout, WriteTimeout: testTimeout})
+	c := f.dial()
+	require.NoError(t, c.SetReadBuffer(4<<10))
+	c.send(strings.Replace(request("/a", strings.Repeat("x", 256<<10)), "Host: a\r\n", "Host: a\r\nConnection: close\r\n", 1))
+	f.release <- struct{}{}
+	time.Sleep(2 * lingerTimeout)
+	require.Len(t, f.open(), 1)
+	body, closes := c.receive()
+	require.True(t, closes)
+	require.Len(t, body, 256<<10+len("/a"))
+}
