Accept callers while other connections end

What callers would see: a new connection to the own interface is closed at once although few are in use.

Cause: connections that wait for their callers to receive what was sent counted towards the limit of connections.

They are counted apart, with the same limit, beyond which a connection is closed without the wait. TestEndingConnectionsLeaveRoom failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -248,8 +248,9 @@
 	if ended {
 		return nil
 	}
-	if !aborted {
+	if !aborted && c.listener.beginLinger() {
 		c.linger()
+		defer c.listener.endLinger()
 	}
 	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
 	err := c.Conn.Close()
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -167,3 +167,20 @@
 	// The rest is what the socket buffers of both ends hold.
 	require.Less(t, sent, 4*maxDiscard)
 }
+
+// Guards against connections that have ended and keep others from being accepted.
+func TestEndingConnectionsLeaveRoom(t *testing.T) {
+	f := start(t, Options{MaxConnections: 2})
+	exchange := func() {
+		c := f.dial()
+		c.send(strings.Replace(request("/a", ""), "Host: a\r\n", "Host: a\r\nConnection: close\r\n", 1))
+		f.release <- struct{}{}
+		_, closes := c.receive()
+		require.True(t, closes)
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+	for range 6 {
+		exchange()
+	}
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -61,7 +61,8 @@
 	ReadTimeout time.Duration
 	// WriteTimeout limits each write to a caller that doesn't read.
 	WriteTimeout time.Duration
-	// MaxConnections limits the open connections; further ones are closed at once. 0 means no limit.
+	// MaxConnections limits the connections that callers may use; further ones are closed at once. As many may wait
+	// for their callers to receive what was sent; others end without that. 0 means no limit.
 	MaxConnections int
 	// RequestID is the header field with the ID of a request, for the log; empty for none.
 	RequestID string
@@ -85,6 +86,8 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// lingering is the number of conns that wait for their callers to receive what was sent.
+	lingering int
 	// ended is closed by Close.
 	ended     chan struct{}
 	closeOnce sync.Once
@@ -251,13 +254,30 @@
 	switch {
 	case l.isClosed():
 		return nil, net.ErrClosed
-	case l.opts.MaxConnections > 0 && len(l.conns) >= l.opts.MaxConnections:
+	case l.opts.MaxConnections > 0 && len(l.conns)-l.lingering >= l.opts.MaxConnections:
 		return nil, errTooManyConnections
 	}
 	l.conns[conn] = struct{}{}
 	return conn, nil
 }
 
+// beginLinger reports whether one more connection may wait for its caller. endLinger must follow.
+func (l *Listener) beginLinger() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.opts.MaxConnections > 0 && l.lingering >= l.opts.MaxConnections {
+		return false
+	}
+	l.lingering++
+	return true
+}
+
+func (l *Listener) endLinger() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering--
+}
+
 func (l *Listener) remove(conn *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
