Let the stand-ins' requests end as they stop, and cut them as they crash

Since the stand-ins watch their callers through internal/callerconn, their shutdown cut requests in progress, a simulated crash waited for the caller, and the weight store's answers broke off (TestModelIsLoadedFromWeightStore failed).

A shutdown now waits for its requests up to the limit that it had, a crash closes the connection at once, and the weight store's body, which is read after its handler has returned, no longer ends with the handler's context. TestShutdownLetsRequestsEnd failed before.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// Abort cuts the connection of a request.
+func Abort(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
+		conn.abort()
+	}
+}
+
 // Accept implements [net.Listener]. Once the listener has stopped, it returns after Close: the library
 // serves no accepted connection any more after an error of Accept.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/standin/httpserver/server.go
+++ b/internal/standin/httpserver/server.go
@@ -24,6 +24,8 @@
 // connections count as open, so most shutdowns take this long.
 const stopTimeout = 200 * time.Millisecond
 
+const stopPollInterval = 5 * time.Millisecond
+
 // maxBodyBytes is the maximum size of a request body.
 const maxBodyBytes = 16 << 20
 
@@ -67,14 +69,34 @@
 	// ctx is done, so the shutdown needs a new context.
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
+	closeIdle(stopCtx, callers)
 	if err := h.Shutdown(stopCtx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	return nil
 }
 
+// closeIdle refuses connections and closes the open ones once their requests have ended, or ctx has.
+func closeIdle(ctx context.Context, callers *callerconn.Listener) {
+	callers.Drain()
+	callers.StopAccepting()
+	ticker := time.NewTicker(stopPollInterval)
+	defer ticker.Stop()
+	for callers.CloseIdle(time.Now()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// abortKey is the key of the function that closes the connection of a request.
+const abortKey = "abort"
+
 // watchCaller ends the context of a request as soon as its caller leaves.
 func watchCaller(ctx context.Context, c *app.RequestContext) {
+	c.Set(abortKey, func() { callerconn.Abort(ctx) })
 	callerconn.Watch(ctx)
 	c.Next(ctx)
 }
@@ -82,5 +104,7 @@
 // CloseConnection closes the connection of a request without completing the response,
 // as a crashing server does.
 func CloseConnection(c *app.RequestContext) {
-	_ = c.GetConn().Close()
+	if abort, ok := c.Value(abortKey).(func()); ok {
+		abort()
+	}
 }
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -83,7 +83,8 @@
 	return httpserver.Run(ctx, opts.Address, opts.Ready, func(h *server.Hertz) {
 		h.GET("/weights/:model/:version", func(ctx context.Context, c *app.RequestContext) {
 			s.startRead()
-			body := &limitedReader{ctx: ctx, limiter: limiter, remaining: opts.Bytes, onDone: sync.OnceFunc(s.endRead)}
+			// The body is read after the handler has returned, which ends ctx.
+			body := &limitedReader{ctx: context.WithoutCancel(ctx), limiter: limiter, remaining: opts.Bytes, onDone: sync.OnceFunc(s.endRead)}
 			c.Response.SetBodyStream(body, int(opts.Bytes))
 			c.SetStatusCode(http.StatusOK)
 		})
