--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -141,7 +141,7 @@
 func (c *Conn) read(p []byte, received func(n int)) (int, error) {
 	var n int
 	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
+	take := func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.ending {
@@ -161,7 +161,11 @@
 		c.gone = c.gone || n <= 0 && !c.waiting
 		c.failed = c.failed || n < 0 && !c.waiting
 		return !c.waiting
-	})
+	}
+	err := c.socket.Read(take)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.look(take) {
+		err = nil
+	}
 	if err != nil && c.stopWaiting() {
 		return 0, io.EOF
 	}
@@ -178,14 +182,16 @@
 	return n, nil
 }
 
+// look takes what has arrived before the deadline was found over, and reports whether there was anything. The system
+// reports a deadline first if the process didn't run meanwhile.
+func (c *Conn) look(take func(fd uintptr) (done bool)) (done bool) {
+	err := c.socket.Control(func(fd uintptr) { done = take(fd) })
+	return err == nil && done
+}
+
 // Write implements [net.Conn].
 func (c *Conn) Write(p []byte) (int, error) {
-	if t := c.listener.opts.WriteTimeout; t > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(t)); err != nil {
-			return 0, err
-		}
-	}
-	n, err := c.Conn.Write(p)
+	n, err := c.write(p)
 	if err != nil {
 		c.recordFailure()
 		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
@@ -193,6 +199,37 @@
 	return n, err
 }
 
+func (c *Conn) write(p []byte) (written int, err error) {
+	for {
+		if t := c.listener.opts.WriteTimeout; t > 0 {
+			if err := c.SetWriteDeadline(time.Now().Add(t)); err != nil {
+				return written, err
+			}
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		// A process that didn't run finds the deadline over before it looks at the socket.
+		if n = c.writeNow(p[written:]); n <= 0 {
+			return written, err
+		}
+		if written += n; written == len(p) {
+			return written, nil
+		}
+	}
+}
+
+// writeNow writes what the socket takes at once, if the caller has made room, and returns the number of bytes.
+func (c *Conn) writeNow(p []byte) (n int) {
+	if !isWritable(c.socket) {
+		return 0
+	}
+	_ = c.socket.Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
+	return n
+}
+
 // recordFailure records that the connection is broken, or that its caller doesn't read.
 func (c *Conn) recordFailure() {
 	c.mu.Lock()
