--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,6 +8,10 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"pollenspindle.example/pollenspindle/internal/tcpclose"
 )
 
 // maxReadAhead is the number of bytes of further requests that are read while one is handled. Once
@@ -31,7 +35,7 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	socket   syscall.RawConn
+	socket   *tcpclose.Socket
 
 	mu    sync.Mutex
 	state state
@@ -69,13 +73,9 @@
 }
 
 func newConn(accepted net.Conn, l *Listener) (*Conn, error) {
-	raw, ok := accepted.(syscall.Conn)
-	if !ok {
-		return nil, ErrListener
-	}
-	socket, err := raw.SyscallConn()
+	socket, err := tcpclose.NewSocket(accepted)
 	if err != nil {
-		return nil, err
+		return nil, merry.Wrap(ErrListener, merry.WithCause(err))
 	}
 	c := &Conn{Conn: accepted, listener: l, socket: socket, awaitedUntil: l.opts.Now().Add(requestTimeout)}
 	if l.opts.ReadTimeout > 0 {
@@ -140,7 +140,7 @@
 func (c *Conn) read(p []byte, received func(n int)) (int, error) {
 	var n int
 	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
+	err := c.socket.Raw().Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.ending {
@@ -221,6 +221,14 @@
 	}
 }
 
+// linger waits until the caller has received what was sent.
+func (c *Conn) linger() {
+	c.mu.Lock()
+	discard := !c.idleClosed && (c.state != idle || c.began)
+	c.mu.Unlock()
+	c.socket.Linger(tcpclose.Options{Now: c.listener.opts.Now, Discard: discard})
+}
+
 // Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -342,16 +350,10 @@
 
 // hasUnread reports whether bytes wait in the socket.
 func (c *Conn) hasUnread() bool {
-	n, err := c.peek()
+	n, err := c.socket.Peek()
 	return err == nil && n > 0
 }
 
-// peek returns the number of bytes that wait in the socket, up to one.
-func (c *Conn) peek() (n int, err error) {
-	controlErr := c.socket.Control(func(fd uintptr) { n, err = peek(fd) })
-	return n, errors.Join(controlErr, err)
-}
-
 // closeIdle ends the connection unless it holds a request.
 func (c *Conn) closeIdle(now time.Time) {
 	c.mu.Lock()
@@ -364,10 +366,3 @@
 	// The library waits in a read, and closes the connection once that has ended.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
-
-// unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, and whether it
-// is known.
-func (c *Conn) unconfirmed() (n int, known bool) {
-	err := c.socket.Control(func(fd uintptr) { n, known = unconfirmedBytes(fd) })
-	return n, known && err == nil
-}
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -57,15 +57,15 @@
 
 // recordEnd logs and counts the end of a connection, before its socket is closed.
 func (l *Listener) recordEnd(c *Conn) {
-	s := c.socketState()
+	s := c.socket.State()
 	c.mu.Lock()
 	by, held, request, answeredAt := c.end(), c.held, c.request, c.answeredAt
 	c.mu.Unlock()
 	result := "unknown"
 	switch {
-	case s.confirms && s.unconfirmed == 0:
+	case s.Confirms && s.Unconfirmed == 0:
 		result = "confirmed"
-	case s.confirms:
+	case s.Confirms:
 		result = "unconfirmed"
 	}
 	l.opts.Scope.Tagged(map[string]string{"reason": string(by), "kind": string(held), "result": result}).Counter("connections_ended").Inc(1)
@@ -73,9 +73,9 @@
 		return
 	}
 	line := l.opts.Log.Info().Stringer("caller", c.RemoteAddr()).Str("request", request).Str("endedBy", string(by)).Str("held", string(held)).
-		Bool("callerClosed", s.closed).Bool("reset", s.failed).Bool("unread", s.unread)
-	if s.confirms {
-		line = line.Int("unconfirmedBytes", s.unconfirmed)
+		Bool("callerClosed", s.Closed).Bool("reset", s.Failed).Bool("unread", s.Unread)
+	if s.Confirms {
+		line = line.Int("unconfirmedBytes", s.Unconfirmed)
 	}
 	if !answeredAt.IsZero() {
 		line = line.Dur("sinceResponse", l.opts.Now().Sub(answeredAt).Round(time.Microsecond))
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -11,43 +11,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against connections that are closed while the last response is on its way, or that never end.
-func TestEndingWaitsForDelivery(t *testing.T) {
-	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	step := func(d time.Duration, s socketState) func(e *ending) bool {
-		return func(e *ending) bool { return e.isOver(at(d), s) }
-	}
-	const most = maxLinger
-	tests := map[string]struct {
-		discard bool
-		steps   []func(e *ending) bool
-	}{
-		"caller closes":                   {true, []func(e *ending) bool{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"caller closes its sending side":  {true, []func(e *ending) bool{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"reset":                           {true, []func(e *ending) bool{step(0, socketState{failed: true})}},
-		"rest of a request":               {true, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"request crosses the end":         {false, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true})}},
-		"request crosses, not confirmed":  {false, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
-		"caller doesn't close":            {true, []func(e *ending) bool{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
-		"caller's machine is gone":        {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
-		"caller reads slowly":             {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
-		"caller reads slowly for long":    {true, []func(e *ending) bool{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
-		"confirmations unknown, closes":   {true, []func(e *ending) bool{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
-		"confirmations unknown, stays on": {true, []func(e *ending) bool{step(0, socketState{}), step(lingerTimeout, socketState{})}},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			e := &ending{began: at(0), progressAt: at(0), unconfirmed: 100, discard: tt.discard}
-			if name == "caller reads slowly for long" {
-				e.progressAt = at(most - lingerTimeout)
-			}
-			for i, over := range tt.steps {
-				require.Equal(t, i == len(tt.steps)-1, over(e), "step %d", i)
-			}
-		})
-	}
-}
-
 // Guards against requests that were read and whose connection is closed as idle, since the process had no
 // processor for longer than callers take to send a request.
 func TestReadRequestIsNeverIdle(t *testing.T) {
--- a/internal/callerconn/socket.go
+++ b/internal/callerconn/socket.go
@@ -21,10 +21,3 @@
 	})
 	return err == nil && n > 0
 }
-
-// peek returns the number of bytes that wait in a socket, up to one.
-func peek(fd uintptr) (int, error) {
-	var p [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -28,9 +28,3 @@
 	})
 	return errors.Join(err, attachErr)
 }
-
-// unconfirmedBytes returns the number of bytes written to a socket that its other end hasn't confirmed.
-func unconfirmedBytes(fd uintptr) (n int, known bool) {
-	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	return n, err == nil
-}
--- a/internal/callerconn/socket_other.go
+++ b/internal/callerconn/socket_other.go
@@ -8,5 +8,3 @@
 )
 
 func refuseHandshakes(syscall.RawConn) error { return errors.ErrUnsupported }
-
-func unconfirmedBytes(uintptr) (n int, known bool) { return 0, false }
--- /dev/null
+++ b/internal/tcpclose/tcpclose.go
@@ -0,0 +1,175 @@
+// Package tcpclose ends TCP connections so that their other end receives what was sent: a close resets the
+// connection if bytes weren't read, and bytes on their way are lost with the machine of the process.
+//
+// # Usage
+//
+//	s, err := tcpclose.NewSocket(conn)
+//	...
+//	s.Linger(tcpclose.Options{Now: time.Now, Discard: true})
+//	conn.Close()
+package tcpclose
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// Timeout is how long a connection that ends waits for its other end while the system of that confirms
+	// nothing more.
+	Timeout = time.Second
+	// maxLinger limits the wait for another end that reads slowly.
+	maxLinger = 10 * time.Second
+	// lingerInterval is how often unconfirmed bytes are looked at: the system doesn't report their confirmation.
+	lingerInterval = 50 * time.Millisecond
+)
+
+// ErrSocket means that a connection has no socket.
+var ErrSocket = merry.Sentinel("connection has no socket")
+
+// Options configures [Socket.Linger].
+type Options struct {
+	Now func() time.Time
+	// Discard says that bytes of the other end are dropped. A close with bytes that weren't read resets the
+	// connection, which may take the last response away from the other end. Without Discard such a reset tells
+	// it that its request wasn't read.
+	Discard bool
+}
+
+// State is what the system knows of a connection.
+type State struct {
+	// Unconfirmed is the number of bytes that the system of the other end hasn't confirmed, if Confirms is set.
+	Unconfirmed int
+	Confirms    bool
+	// Unread says that bytes of the other end wait to be read.
+	Unread bool
+	// Closed says that the other end has closed its side, Failed that the connection is broken.
+	Closed, Failed bool
+}
+
+// Socket is the socket of a TCP connection.
+type Socket struct {
+	conn net.Conn
+	raw  syscall.RawConn
+}
+
+// NewSocket returns the socket of a connection.
+func NewSocket(conn net.Conn) (*Socket, error) {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, merry.Wrap(ErrSocket, merry.AppendMessagef("%T", conn))
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, merry.Wrap(ErrSocket, merry.WithCause(err))
+	}
+	return &Socket{conn: conn, raw: raw}, nil
+}
+
+// Raw returns the socket for system calls.
+func (s *Socket) Raw() syscall.RawConn { return s.raw }
+
+// Linger ends the sending side and waits until the other end has received what was sent, or doesn't read. Nobody
+// else may read meanwhile.
+func (s *Socket) Linger(opts Options) {
+	sender, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || sender.CloseWrite() != nil {
+		return
+	}
+	now := opts.Now()
+	e := ending{began: now, progressAt: now, discard: opts.Discard}
+	for {
+		state := s.State()
+		if e.isOver(opts.Now(), state) {
+			return
+		}
+		if state.Unread && e.discard {
+			s.discard()
+			continue
+		}
+		if !s.wait(state) {
+			return
+		}
+	}
+}
+
+// ending is the wait of a connection that has sent its last byte until the other end has received it.
+type ending struct {
+	// began is when the wait began, progressAt when the other end's system last confirmed bytes.
+	began, progressAt time.Time
+	unconfirmed       int
+	discard           bool
+}
+
+// isOver reports whether the connection may be closed.
+func (e *ending) isOver(now time.Time, s State) bool {
+	delivered := !s.Confirms || s.Unconfirmed == 0
+	if s.Unconfirmed < e.unconfirmed {
+		e.progressAt = now
+	}
+	e.unconfirmed = s.Unconfirmed
+	switch {
+	case s.Failed:
+		return true
+	case delivered && (s.Closed || s.Unread && !e.discard):
+		return true
+	}
+	return now.Sub(e.progressAt) >= Timeout || now.Sub(e.began) >= maxLinger
+}
+
+// State looks at the socket.
+func (s *Socket) State() State {
+	var state State
+	err := s.raw.Control(func(fd uintptr) { state.Unconfirmed, state.Confirms = unconfirmedBytes(fd) })
+	state.Confirms = state.Confirms && err == nil
+	n, err := s.Peek()
+	switch {
+	case n > 0:
+		state.Unread = true
+	case err == nil:
+		state.Closed = true
+	default:
+		state.Failed = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	}
+	return state
+}
+
+// Peek returns the number of bytes that wait to be read, up to one.
+func (s *Socket) Peek() (n int, err error) {
+	controlErr := s.raw.Control(func(fd uintptr) { n, err = peek(fd) })
+	return n, errors.Join(controlErr, err)
+}
+
+func peek(fd uintptr) (int, error) {
+	var p [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// discard drops bytes that wait to be read.
+func (s *Socket) discard() {
+	var p [4 << 10]byte
+	_ = s.raw.Control(func(fd uintptr) { _, _ = syscall.Read(int(fd), p[:]) })
+}
+
+// wait waits until the other end sends or closes, or until the socket is due for another look. It reports
+// whether the socket is still open.
+func (s *Socket) wait(state State) bool {
+	if state.Closed || state.Unread {
+		time.Sleep(lingerInterval)
+		return true
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(lingerInterval)); err != nil {
+		return false
+	}
+	err := s.raw.Read(func(fd uintptr) bool {
+		_, err := peek(fd)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
