Pass on whole answers of connections relayed for other instances

A caller of an instance without links to servers lost its answer at the instance in between, in two ways:

- A server that answered before it had read the whole request, and closed, made the relay's next write fail.
The relay then closed the instance's connection, with bytes unread: the answer was reset ("exchange lost ... connection reset by peer").
- Once the server had closed, the relay wasn't counted any more, and only then its connections were closed.
An instance that leaves ends as soon as it has no relays, while the answer is on its way.

What a server doesn't take any more is dropped now until the instance closes; the relay ends with the same lingering close as connections of callers, and counts until then. The connection to the server is closed before that, so that servers don't go on for longer.

--- a/internal/dialpeer/relay.go
+++ b/internal/dialpeer/relay.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
+
+	"pollenspindle.example/pollenspindle/internal/tcpclose"
 )
 
 const (
@@ -37,6 +39,7 @@
 	// buffered reads from instance, with the bytes that were read ahead.
 	buffered *bufio.ReadWriter
 	server   network.Conn
+	now      func() time.Time
 }
 
 func (r *relay) close() {
@@ -44,6 +47,24 @@
 	_ = r.server.Close()
 }
 
+// run relays until either end closes, and returns once the instance has received what was sent, or doesn't read.
+func (r *relay) run() {
+	instanceGone := make(chan struct{})
+	go func() {
+		defer close(instanceGone)
+		r.copyToServer()
+		// The server goes on with a request until its connection is closed.
+		_ = r.server.Close()
+	}()
+	r.copyFromServer()
+	_ = r.server.Close()
+	_ = r.instance.SetReadDeadline(time.Unix(1, 0))
+	<-instanceGone
+	if socket, err := tcpclose.NewSocket(r.instance); err == nil {
+		socket.Linger(tcpclose.Options{Now: r.now, Discard: true})
+	}
+}
+
 // Drain refuses further connections of other instances.
 func (p *Peer) Drain() {
 	p.mu.Lock()
@@ -123,23 +144,21 @@
 		p.opts.Log.Error().Err(err).Msg("connection of another instance can't be relayed")
 		return
 	}
-	r := &relay{instance: instance, buffered: buffered, server: server}
-	defer r.close()
+	r := &relay{instance: instance, buffered: buffered, server: server, now: p.opts.Now}
 	if !p.add(r) {
+		r.close()
 		return
 	}
+	// An instance that leaves ends once it has no relays: one counts until its connections are closed.
 	defer p.remove(r)
+	defer r.close()
 	if tcp, ok := instance.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
 	if _, err := io.WriteString(instance, switchingProtocols); err != nil {
 		return
 	}
-	go func() {
-		defer r.close()
-		r.copyToServer()
-	}()
-	r.copyFromServer()
+	r.run()
 }
 
 // add counts a connection and reports whether it may be relayed.
@@ -161,14 +180,15 @@
 	p.opts.Scope.Gauge("relayed").Update(float64(len(p.relayed)))
 }
 
+// copyToServer sends the instance's bytes to the server until the instance closes its connection. What a server
+// doesn't take is dropped: it may have answered before it has read the whole request, and closed.
 func (r *relay) copyToServer() {
 	buf := make([]byte, upstreamBuffer)
+	var writeErr error
 	for {
 		n, err := r.buffered.Read(buf)
-		if n > 0 {
-			if _, werr := r.server.Write(buf[:n]); werr != nil {
-				return
-			}
+		if n > 0 && writeErr == nil {
+			_, writeErr = r.server.Write(buf[:n])
 		}
 		if err != nil {
 			return
