--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,6 +8,10 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"pollenspindle.example/pollenspindle/internal/tcpclose"
 )
 
 // maxReadAhead is the number of bytes of further requests that are read while one is handled. Once
@@ -31,7 +35,7 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	socket   syscall.RawConn
+	socket   *tcpclose.Socket
 
 	mu    sync.Mutex
 	state state
@@ -52,9 +56,8 @@
 	recordEnd  sync.Once
 	// recordUnwritten makes the first failed write of a connection be logged.
 	recordUnwritten sync.Once
-	// gone is set once the caller has closed its end, or the connection has failed; failed is set for the latter:
-	// the system reports the error of a socket only once.
-	gone, failed bool
+	// gone is set once the caller has closed its end, or the connection has failed.
+	gone bool
 	// request is the ID of the last request, answeredAt when its handling ended.
 	request    string
 	answeredAt time.Time
@@ -70,13 +73,9 @@
 }
 
 func newConn(accepted net.Conn, l *Listener) (*Conn, error) {
-	raw, ok := accepted.(syscall.Conn)
-	if !ok {
-		return nil, ErrListener
-	}
-	socket, err := raw.SyscallConn()
+	socket, err := tcpclose.NewSocket(accepted)
 	if err != nil {
-		return nil, err
+		return nil, merry.Wrap(ErrListener, merry.WithCause(err))
 	}
 	c := &Conn{Conn: accepted, listener: l, socket: socket, awaitedUntil: l.opts.Now().Add(requestTimeout)}
 	if l.opts.ReadTimeout > 0 {
@@ -159,10 +158,12 @@
 		}
 		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		c.gone = c.gone || n <= 0 && !c.waiting
-		c.failed = c.failed || n < 0 && !c.waiting
+		if n < 0 && !c.waiting {
+			c.socket.Fail()
+		}
 		return !c.waiting
 	}
-	err := c.socket.Read(take)
+	err := c.socket.Raw().Read(take)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.look(take) {
 		err = nil
 	}
@@ -185,7 +186,7 @@
 // look takes what has arrived before the deadline was found over, and reports whether there was anything. The system
 // reports a deadline first if the process didn't run meanwhile.
 func (c *Conn) look(take func(fd uintptr) (done bool)) (done bool) {
-	err := c.socket.Control(func(fd uintptr) { done = take(fd) })
+	err := c.socket.Raw().Control(func(fd uintptr) { done = take(fd) })
 	return err == nil && done
 }
 
@@ -193,7 +194,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
 	if err != nil {
-		c.recordFailure()
+		c.socket.Fail()
 		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
 	}
 	return n, err
@@ -223,27 +224,13 @@
 
 // writeNow writes what the socket takes at once, if the caller has made room, and returns the number of bytes.
 func (c *Conn) writeNow(p []byte) (n int) {
-	if !isWritable(c.socket) {
+	if !isWritable(c.socket.Raw()) {
 		return 0
 	}
-	_ = c.socket.Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
+	_ = c.socket.Raw().Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
 	return n
 }
 
-// recordFailure records that the connection is broken, or that its caller doesn't read.
-func (c *Conn) recordFailure() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.failed = true
-}
-
-// hasFailed reports whether the connection is broken.
-func (c *Conn) hasFailed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.failed
-}
-
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -275,6 +262,14 @@
 	}
 }
 
+// linger waits until the caller has received what was sent.
+func (c *Conn) linger() {
+	c.mu.Lock()
+	discard := !c.idleClosed && (c.state != idle || c.began)
+	c.mu.Unlock()
+	c.socket.Linger(tcpclose.Options{Now: c.listener.opts.Now, DeliveryTimeout: c.listener.opts.WriteTimeout, Discard: discard})
+}
+
 // Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -402,16 +397,10 @@
 
 // hasUnread reports whether bytes wait in the socket.
 func (c *Conn) hasUnread() bool {
-	n, err := c.peek()
+	n, err := c.socket.Peek()
 	return err == nil && n > 0
 }
 
-// peek returns the number of bytes that wait in the socket, up to one.
-func (c *Conn) peek() (n int, err error) {
-	controlErr := c.socket.Control(func(fd uintptr) { n, err = peek(fd) })
-	return n, errors.Join(controlErr, err)
-}
-
 // closeIdle ends the connection unless it holds a request.
 func (c *Conn) closeIdle(now time.Time) {
 	c.mu.Lock()
@@ -424,10 +413,3 @@
 	// The library waits in a read, and closes the connection once that has ended.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
-
-// unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, and whether it
-// is known.
-func (c *Conn) unconfirmed() (n int, known bool) {
-	err := c.socket.Control(func(fd uintptr) { n, known = unconfirmedBytes(fd) })
-	return n, known && err == nil
-}
