Hold only late requests to their own limit while an instance leaves

What callers would see: a request that was accepted on a new connection and waits for a server is refused 2.5 s after SIGTERM.

Cause: the rule for requests that come once connections are refused was applied to all, at their second look. It is decided now as a request comes. TestAcceptedRequestOutlastsListener fails with the check as it was.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -96,6 +96,7 @@
 		// Once sent, the request runs whether or not its caller waits.
 		ctx = context.WithoutCancel(ctx)
 	}
+	r.late = s.refusesConnections.Load()
 	if f := s.refuseWhileDraining(s.opts.Now(), r); f != nil {
 		return f
 	}
--- a/internal/ingress/failures.go
+++ b/internal/ingress/failures.go
@@ -37,7 +37,7 @@
 	if r.route.Kind == routes.Stream {
 		required, limit = minGraceStream+time.Duration(r.maxOutput)*timePerToken, r.callerDeadline
 	}
-	if s.refusesConnections.Load() {
+	if r.late {
 		required = max(required, limit.Sub(now))
 	}
 	if required <= remaining {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -421,6 +421,16 @@
 	}
 }
 
+// Guards against requests that were accepted and are refused as connections are.
+func TestAcceptedRequestOutlastsListener(t *testing.T) {
+	f := startFixture(t, map[string]http.Handler{"desk-1": &backend{handle: respondWith(200)}})
+	f.Drain(f.clock.now())
+	f.clock.advance(5 * time.Second)
+	accepted := &request{route: &routes.Route{Kind: routes.Idempotent}, startDeadline: f.clock.now().Add(time.Minute)}
+	f.refusesConnections.Store(true)
+	require.Nil(t, f.refuseWhileDraining(f.clock.now(), accepted))
+}
+
 // Guards against callers that exhaust their retries: during startup the Retry-After is short,
 // during a platform outage it is longer, as many callers retry only once.
 func TestRetryAfterWithoutConfiguration(t *testing.T) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -52,6 +52,8 @@
 	workspace string
 	priority  int
 	start     time.Time
+	// late is set if the request came once the instance refused connections.
+	late bool
 	// callerDeadline is when the caller disconnects, startDeadline when a response must have started.
 	callerDeadline time.Time
 	startDeadline  time.Time
