Give callers a moment for responses of the end of the grace period

What callers would see: a response written just before requests are cut is lost with the machine.

Cause: the end of the grace period closed connections that waited for their callers, too. TestClosedListenerDeliversSentResponses: before, such a connection was aborted as the listener closed (by reading; the test counts waiting connections, which the code before didn't).

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -255,6 +255,13 @@
 	return c.ending
 }
 
+// isEnding reports whether nothing more is read.
+func (c *Conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
 // beginEnd ends the reading of requests; mu is held.
 func (c *Conn) beginEnd() {
 	if !c.ending {
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"pollenspindle.example/pollenspindle/internal/tcpclose"
@@ -132,3 +133,21 @@
 		exchange()
 	}
 }
+
+// Guards against responses of the last moment before a listener is closed, which are lost with the machine.
+func TestClosedListenerDeliversSentResponses(t *testing.T) {
+	var log logBuffer
+	f := start(t, Options{ReadTimeout: testTimeout, WriteTimeout: testTimeout, Log: zerolog.New(&log)})
+	f.Drain()
+	c := f.dial()
+	c.send(request("/a", "1"))
+	f.release <- struct{}{}
+	_, closes := c.receive()
+	require.True(t, closes)
+	require.Eventually(t, func() bool { return f.countLingering() == 1 }, testTimeout, time.Millisecond)
+	time.AfterFunc(closeTimeout/5, func() { _ = c.Close() })
+	_ = f.Close()
+	require.Len(t, log.ends(t), 1)
+	require.Equal(t, "instance", log.ends(t)[0]["endedBy"])
+	require.Equal(t, true, log.ends(t)[0]["callerClosed"])
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -52,6 +52,9 @@
 	maxAcceptBackoff = time.Second
 	// handshakeTimeout is how long a listener that stops waits for handshakes that have begun.
 	handshakeTimeout = 50 * time.Millisecond
+	// closeTimeout is how long a listener that is closed waits for callers to receive what was sent.
+	closeTimeout      = 100 * time.Millisecond
+	closePollInterval = 5 * time.Millisecond
 )
 
 // Options configures a [Listener].
@@ -343,19 +346,34 @@
 	return len(l.open())
 }
 
-// Close closes the listener and all connections.
+// Close closes the listener and cuts the requests in progress. Callers of other connections that end still have
+// closeTimeout to receive their responses.
 func (l *Listener) Close() error {
 	l.stopping.Store(true)
 	err := l.Listener.Close()
 	l.mu.Lock()
 	l.closeOnce.Do(func() { close(l.ended) })
 	l.mu.Unlock()
+	for _, conn := range l.open() {
+		if !conn.isEnding() {
+			conn.abort()
+		}
+	}
+	for until := time.Now().Add(closeTimeout); l.countLingering() > 0 && time.Now().Before(until); {
+		time.Sleep(closePollInterval)
+	}
 	for _, conn := range l.open() {
 		conn.abort()
 	}
 	return err
 }
 
+func (l *Listener) countLingering() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lingering
+}
+
 func (l *Listener) isClosed() bool {
 	select {
 	case <-l.ended:
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -385,9 +385,11 @@
 	for _, h := range s.hertz {
 		_ = h.Close()
 	}
+	var closing sync.WaitGroup
 	for _, l := range s.listeners() {
-		_ = l.Close()
+		closing.Go(func() { _ = l.Close() })
 	}
+	closing.Wait()
 }
 
 func (s *Server) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
