Wait longer for callers that have no room for the end of their answer

What callers saw: with a small receive buffer and an answer of 1 MB, eight of twelve requests to a leaving instance, sent 2.5 s after its SIGTERM and read 2.5 s later, ended with a reset within the answer.

Cause: a connection that ends waits one second without a confirmation. A caller that doesn't read for longer confirms nothing, as its system has no room, though it is there and the grace period has time left.

Evidence: the log of the instance has 'connection ended' with 740 to 805 kB unconfirmed, 1.05 to 1.12 s after each response, callerClosed and reset false; the instance left 3.9 s after SIGTERM, of 8.

The wait is five seconds, that of a write to a caller that doesn't read, if the system of the caller has confirmed all that was sent, has no room for the rest, and answers the probes for it. One that is gone doesn't answer and is given up after one second as before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -348,9 +348,12 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, and whether it
-// is known.
-func (c *Conn) unconfirmed() (n int, known bool) {
-	err := c.socket.Control(func(fd uintptr) { n, known = unconfirmedBytes(fd) })
-	return n, known && err == nil
+// unconfirmed returns the number of bytes written that the system of the caller hasn't confirmed, whether that is
+// since it has no room, and whether it is known.
+func (c *Conn) unconfirmed() (n int, full, known bool) {
+	err := c.socket.Control(func(fd uintptr) {
+		n, known = unconfirmedBytes(fd)
+		full = n > 0 && isFull(fd)
+	})
+	return n, full, known && err == nil
 }
--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -11,6 +11,9 @@
 	// lingerTimeout is how long a connection that ends waits for its caller while the caller's system confirms
 	// nothing more.
 	lingerTimeout = time.Second
+	// fullTimeout is the same for a caller whose system has confirmed what it had room for: the caller is there and
+	// doesn't read.
+	fullTimeout = 5 * time.Second
 	// maxLinger limits the wait for a caller that reads slowly.
 	maxLinger = 10 * time.Second
 	// lingerInterval is how often unconfirmed bytes are looked at: the system doesn't report their confirmation.
@@ -33,6 +36,8 @@
 	// unconfirmed is the number of bytes that the caller's system hasn't confirmed, if confirms is set.
 	unconfirmed int
 	confirms    bool
+	// full says that the system of the caller has confirmed all that it had room for, and has no room.
+	full bool
 	// unread says that bytes of the caller wait to be read.
 	unread bool
 	// closed says that the caller has closed its end, failed that the connection is broken.
@@ -52,7 +57,11 @@
 	case delivered && (s.closed || s.unread && !e.discard):
 		return true
 	}
-	return now.Sub(e.progressAt) >= lingerTimeout || now.Sub(e.began) >= maxLinger
+	timeout := lingerTimeout
+	if s.full {
+		timeout = fullTimeout
+	}
+	return now.Sub(e.progressAt) >= timeout || now.Sub(e.began) >= maxLinger
 }
 
 // linger ends the sending side and waits until the caller has received what was sent.
@@ -83,7 +92,7 @@
 // socketState looks at the socket.
 func (c *Conn) socketState() socketState {
 	var s socketState
-	s.unconfirmed, s.confirms = c.unconfirmed()
+	s.unconfirmed, s.full, s.confirms = c.unconfirmed()
 	n, err := c.peek()
 	switch {
 	case n > 0:
--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -18,6 +18,7 @@
 		return func(e *ending) bool { return e.isOver(at(d), s) }
 	}
 	const most = maxLinger
+	full := socketState{confirms: true, unconfirmed: 9, full: true}
 	tests := map[string]struct {
 		discard bool
 		steps   []func(e *ending) bool
@@ -30,6 +31,8 @@
 		"request crosses, not confirmed":  {false, []func(e *ending) bool{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
 		"caller doesn't close":            {true, []func(e *ending) bool{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
 		"caller's machine is gone":        {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
+		"caller has no room":              {true, []func(e *ending) bool{step(0, full), step(lingerTimeout, full), step(fullTimeout-1, full), step(fullTimeout, full)}},
+		"caller without room is gone":     {true, []func(e *ending) bool{step(0, full), step(lingerTimeout, full), step(lingerTimeout+1, socketState{confirms: true, unconfirmed: 9})}},
 		"caller reads slowly":             {true, []func(e *ending) bool{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
 		"caller reads slowly for long":    {true, []func(e *ending) bool{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
 		"confirmations unknown, closes":   {true, []func(e *ending) bool{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -34,3 +34,10 @@
 	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	return n, err == nil
 }
+
+// isFull reports whether the other end has confirmed all that was sent, and answers the probes for room to send the
+// rest.
+func isFull(fd uintptr) bool {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.Notsent_bytes > 0 && info.Unacked == 0 && info.Probes <= 1
+}
