Answer calls of other instances that are in progress as an instance ends

An instance that ended closed the server for other instances at once, and the process didn't wait for it: calls in progress got no answer ("EOF"). The server now stops to accept and waits up to 100 ms for the calls, and the process for the server; what is cut then has a line. The last log lines get 100 ms instead of 200 if the grace period is over, so that both fit before its end.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,6 +56,8 @@
 	broadcastTimeout  = 350 * time.Millisecond
 	syncTimeout       = 2 * time.Second
 	readTimeout       = time.Second
+	// closeTimeout is how long an instance that ends waits for calls of others.
+	closeTimeout = 100 * time.Millisecond
 	// idleTimeout is longer than callers keep an unused connection.
 	idleTimeout        = time.Minute
 	maxIndirectProbes  = 2
@@ -291,7 +293,7 @@
 	}, instancerpc.HandlerOptions()...)
 }
 
-// Serve serves other instances on the listener until ctx ends.
+// Serve serves other instances on the listener until ctx ends, then waits for the calls in progress.
 func (g *Gossip) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(probeProcedure, g.handler(probeProcedure, g.handleProbe))
@@ -305,10 +307,19 @@
 		mux.Handle(path, handler)
 	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
 		return merry.Prepend(err, "serve instances")
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(closing); err != nil {
+		g.opts.Log.Info().Err(err).Msg("calls of other instances are cut")
+		_ = server.Close()
 	}
+	<-served
 	return nil
 }
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -70,7 +70,7 @@
 	// exitMargin is the part of the grace period that is reserved for the process to exit.
 	exitMargin = 400 * time.Millisecond
 	// minFlushTime and maxFlushTime limit the wait until the last log lines are written.
-	minFlushTime = 200 * time.Millisecond
+	minFlushTime = 100 * time.Millisecond
 	maxFlushTime = 2 * time.Second
 	// minLeaveTime is how long an instance keeps serving after it has announced that it leaves:
 	// callers that learned of it before open new connections.
@@ -230,7 +230,7 @@
 	in.start(func() { in.watchSettings(backgroundCtx) })
 	in.start(func() { in.serveMetrics(backgroundCtx) })
 	in.start(func() { in.freeStartupMemory(backgroundCtx) })
-	go in.guard(func() { failed <- in.gossip.Serve(backgroundCtx, peers) })
+	in.start(func() { failed <- in.gossip.Serve(backgroundCtx, peers) })
 	go in.guard(func() { failed <- in.server.Run(backgroundCtx) })
 	in.log.Info().Str("callers", in.cfg.CallerAddress).Str("peers", in.cfg.PeerAddress).Msg("instance serves")
 	reason := ""
