Reserve half a second of the grace period for the exit

The end now waits up to 0.1 s each for callers that receive the last responses, for calls of other instances and for the log, one after the other; with the rest of the exit that left little of 0.4 s.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -68,7 +68,7 @@
 	// maxAnswerBytes limits an answer of the platform: a page and a value have 1 MB each at most.
 	maxAnswerBytes = 4 << 20
 	// exitMargin is the part of the grace period that is reserved for the process to exit.
-	exitMargin = 400 * time.Millisecond
+	exitMargin = 500 * time.Millisecond
 	// minFlushTime and maxFlushTime limit the wait until the last log lines are written.
 	minFlushTime = 100 * time.Millisecond
 	maxFlushTime = 2 * time.Second
