--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -35,8 +35,7 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	socket   syscall.RawConn
-	tcp      *tcpclose.Socket
+	socket   *tcpclose.Socket
 
 	mu    sync.Mutex
 	state state
@@ -74,11 +73,11 @@
 }
 
 func newConn(accepted net.Conn, l *Listener) (*Conn, error) {
-	tcp, err := tcpclose.NewSocket(accepted)
+	socket, err := tcpclose.NewSocket(accepted)
 	if err != nil {
 		return nil, merry.Wrap(ErrListener, merry.WithCause(err))
 	}
-	c := &Conn{Conn: accepted, listener: l, socket: tcp.Raw(), tcp: tcp, awaitedUntil: l.opts.Now().Add(requestTimeout)}
+	c := &Conn{Conn: accepted, listener: l, socket: socket, awaitedUntil: l.opts.Now().Add(requestTimeout)}
 	if l.opts.ReadTimeout > 0 {
 		err = c.SetReadDeadline(time.Now().Add(l.opts.ReadTimeout))
 	}
@@ -160,11 +159,11 @@
 		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		c.gone = c.gone || n <= 0 && !c.waiting
 		if n < 0 && !c.waiting {
-			c.tcp.RecordFailure()
+			c.socket.Fail()
 		}
 		return !c.waiting
 	}
-	err := c.socket.Read(take)
+	err := c.socket.Raw().Read(take)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.look(take) {
 		err = nil
 	}
@@ -187,7 +186,7 @@
 // look takes what has arrived before the deadline was found over, and reports whether there was anything. The system
 // reports a deadline first if the process didn't run meanwhile.
 func (c *Conn) look(take func(fd uintptr) (done bool)) (done bool) {
-	err := c.socket.Control(func(fd uintptr) { done = take(fd) })
+	err := c.socket.Raw().Control(func(fd uintptr) { done = take(fd) })
 	return err == nil && done
 }
 
@@ -195,7 +194,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
 	if err != nil {
-		c.tcp.RecordFailure()
+		c.socket.Fail()
 		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
 	}
 	return n, err
@@ -225,10 +224,10 @@
 
 // writeNow writes what the socket takes at once, if the caller has made room, and returns the number of bytes.
 func (c *Conn) writeNow(p []byte) (n int) {
-	if !isWritable(c.socket) {
+	if !isWritable(c.socket.Raw()) {
 		return 0
 	}
-	_ = c.socket.Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
+	_ = c.socket.Raw().Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
 	return n
 }
 
@@ -256,6 +255,13 @@
 	return c.ending
 }
 
+// isEnding reports whether nothing more is read.
+func (c *Conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
 // beginEnd ends the reading of requests; mu is held.
 func (c *Conn) beginEnd() {
 	if !c.ending {
@@ -268,7 +274,7 @@
 	c.mu.Lock()
 	discard := !c.idleClosed && (c.state != idle || c.began)
 	c.mu.Unlock()
-	c.tcp.Linger(tcpclose.Options{Now: c.listener.opts.Now, DeliveryTimeout: c.listener.opts.WriteTimeout, Discard: discard})
+	c.socket.Linger(tcpclose.Options{Now: c.listener.opts.Now, DeliveryTimeout: c.listener.opts.WriteTimeout, Discard: discard})
 }
 
 // Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
@@ -398,7 +404,7 @@
 
 // hasUnread reports whether bytes wait in the socket.
 func (c *Conn) hasUnread() bool {
-	n, err := c.tcp.Peek()
+	n, err := c.socket.Peek()
 	return err == nil && n > 0
 }
 
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -57,7 +57,7 @@
 
 // recordEnd logs and counts the end of a connection, before its socket is closed.
 func (l *Listener) recordEnd(c *Conn) {
-	s := c.tcp.State()
+	s := c.socket.State()
 	c.mu.Lock()
 	by, held, request, answeredAt := c.end(), c.held, c.request, c.answeredAt
 	c.mu.Unlock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -321,8 +320,6 @@
 		g.opts.Log.Info().Err(err).Msg("calls of other instances are cut")
 		_ = server.Close()
 	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		return merry.Prepend(err, "serve instances")
-	}
+	<-served
 	return nil
 }
--- a/internal/tcpclose/tcpclose.go
+++ b/internal/tcpclose/tcpclose.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// Timeout is how long a connection waits for its other end to close, once the system of that has confirmed all
-	// bytes.
+	// Timeout is how long a connection waits for its other end to close, once the system of that has confirmed
+	// all bytes.
 	Timeout = time.Second
 	// maxLinger limits the wait for another end that reads slowly.
 	maxLinger = 10 * time.Second
@@ -30,8 +30,8 @@
 	lingerInterval = 50 * time.Millisecond
 	// maxLookGap is the maximum time between two looks of a process that runs.
 	maxLookGap = 2 * lingerInterval
-	// MaxDiscard is the number of bytes of the other end that are dropped; one that sends more is reset.
-	MaxDiscard = 4 << 20
+	// maxDiscard is the number of bytes of the other end that are dropped; one that sends more is reset.
+	maxDiscard = 4 << 20
 )
 
 // ErrSocket means that a connection has no socket.
@@ -40,7 +40,8 @@
 // Options configures [Socket.Linger].
 type Options struct {
 	Now func() time.Time
-	// DeliveryTimeout limits the wait while the system of the other end confirms nothing more of what is unconfirmed.
+	// DeliveryTimeout limits the wait while the system of the other end confirms nothing more of what is
+	// unconfirmed; at least [Timeout].
 	DeliveryTimeout time.Duration
 	// Discard says that bytes of the other end are dropped. A close with bytes that weren't read resets the
 	// connection, which may take the last response away from the other end. Without Discard such a reset tells
@@ -63,7 +64,7 @@
 type Socket struct {
 	conn net.Conn
 	raw  syscall.RawConn
-	// failed is set once the connection is broken: the system reports the error of a socket only once.
+	// failed is kept: the system reports the error of a socket only once.
 	failed atomic.Bool
 }
 
@@ -80,6 +81,9 @@
 	return &Socket{conn: conn, raw: raw}, nil
 }
 
+// Fail records that the connection is broken, or that its other end doesn't read.
+func (s *Socket) Fail() { s.failed.Store(true) }
+
 // Raw returns the socket for system calls.
 func (s *Socket) Raw() syscall.RawConn { return s.raw }
 
@@ -98,7 +102,7 @@
 		}
 		if state.Unread && l.discard {
 			discarded += s.discard()
-			l.discard = discarded < MaxDiscard
+			l.discard = discarded < maxDiscard
 			continue
 		}
 		if !s.wait(state) {
@@ -107,9 +111,6 @@
 	}
 }
 
-// RecordFailure records that the connection is broken, or that its other end doesn't read.
-func (s *Socket) RecordFailure() { s.failed.Store(true) }
-
 // lingering is the wait of a connection that has sent its last byte until the other end has received it.
 type lingering struct {
 	lookedAt time.Time
@@ -138,11 +139,11 @@
 	case delivered && (s.Closed || s.Unread && !l.discard):
 		return true
 	}
-	limit := Timeout
+	timeout := Timeout
 	if !delivered {
-		limit = max(limit, l.deliveryTimeout)
+		timeout = max(timeout, l.deliveryTimeout)
 	}
-	return l.idle >= limit || l.waited >= maxLinger
+	return l.idle >= timeout || l.waited >= maxLinger
 }
 
 // State looks at the socket.
@@ -157,7 +158,7 @@
 	case err == nil:
 		state.Closed = true
 	case isFailure(err):
-		s.RecordFailure()
+		s.Fail()
 	}
 	state.Failed = s.failed.Load()
 	state.Closed = state.Closed && !state.Failed
@@ -202,7 +203,7 @@
 	err := s.raw.Read(func(fd uintptr) bool {
 		_, err := peek(fd)
 		if isFailure(err) {
-			s.RecordFailure()
+			s.Fail()
 		}
 		return !errors.Is(err, syscall.EAGAIN)
 	})
