Keep the own interface running when nobody reads its log

Instances of the own interface wrote each log line at once. With a standard error that nobody read, the first line that found no room held what wrote it, for good: an instance didn't end any more. A reader that had ended would end the process by SIGPIPE, as it did with instances that route by host and path. The line "instance leaves" had no reason, and a failed listener no line.

Both use the same queue now (telemetry.NewLogQueue), and the line has the reason.

SIGPIPE of this interface wasn't tried.

--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -9,14 +9,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -52,9 +49,6 @@
 var ErrStart = merry.Sentinel("instance couldn't start")
 
 const (
-	// maxLogLines is the number of lines that wait to be written; further ones are dropped and
-	// counted, so that a reader that doesn't read blocks nothing.
-	maxLogLines = 2048
 	// memoryShare is the share of the allowed memory that is the soft limit of the garbage
 	// collector: the rest is for stacks, the C library and the kernel's socket buffers.
 	memoryShare = 0.6
@@ -164,13 +158,7 @@
 	if mb := opts.Settings.MemoryMegabytes; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
-	// A write to an output that nobody reads any more would end the process.
-	signal.Ignore(syscall.SIGPIPE)
-	var log zerolog.Logger
-	out := logqueue.New(opts.Streams.Out, logqueue.Options{Capacity: maxLogLines, Dropped: func(w io.Writer, n int64) {
-		l := log.Output(w)
-		l.Warn().Int64("dropped", n).Msg("log lines dropped")
-	}})
+	out := telemetry.NewLogQueue(opts.Streams.Out, opts.Settings.Instance)
 	in := &instance{opts: opts, now: opts.Now, cfg: opts.Settings, out: out}
 	// An output that isn't read takes no line about it either.
 	defer func() { _ = out.Close(flushTime(time.Now(), in.endsBy)) }()
@@ -182,12 +170,11 @@
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
-	log = telemetry.ComponentLogger(tel.Log, "serve")
 	telemetry.CaptureLibraries(tel.Log)
 	if opts.Now == nil {
 		in.opts.Now, in.now = time.Now, time.Now
 	}
-	in.tel, in.log, in.startedAt = tel, log, in.now()
+	in.tel, in.log, in.startedAt = tel, telemetry.ComponentLogger(tel.Log, "serve"), in.now()
 	if err := in.build(ctx); err != nil {
 		return in.failStart(err)
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -35,6 +35,9 @@
 // closeTimeout limits sending the remaining spans and releases at the end of a shutdown.
 const closeTimeout = 5 * time.Second
 
+// flushTimeout limits the wait until the last log lines are written.
+const flushTimeout = 2 * time.Second
+
 const (
 	// leaveTimeout limits the wait until the other instances know that this one leaves. A roster
 	// reaches them within 1 s to 2 s; in a platform outage it does not change, and waiting longer
@@ -52,7 +55,10 @@
 // RunWithDialer is [Run] with what opens connections to backend servers over the instance's own links;
 // nil for plain TCP.
 func RunWithDialer(ctx context.Context, s settings.Settings, streams *iostreams.IOStreams, direct httpclient.DialFunc) error {
-	tel, err := telemetry.New(telemetry.Options{Settings: s, Out: streams.Out, ErrOut: streams.Err})
+	out := telemetry.NewLogQueue(streams.Err, s.Instance)
+	// An output that isn't read takes no line about it either.
+	defer func() { _ = out.Close(flushTimeout) }()
+	tel, err := telemetry.New(telemetry.Options{Settings: s, Out: streams.Out, ErrOut: out})
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
@@ -116,12 +122,17 @@
 	in.log.Info().Str("callers", in.settings.CallerAddress).Str("peers", in.settings.PeerAddress).
 		Str("operators", in.settings.OperatorAddress).Msg("instance serves")
 
+	reason := ""
 	select {
 	case <-ctx.Done():
+		reason = context.Cause(ctx).Error()
 	case <-p.leaving:
+		reason = "an operator asked for it"
 	case err = <-failed:
+		in.log.Error().Err(err).Msg("a listener failed")
+		reason = "a listener failed"
 	}
-	in.leave(callers, operators)
+	in.leave(reason, callers, operators)
 	stop()
 	in.tasks.Wait()
 	p.commands.Close()
@@ -139,8 +150,8 @@
 // leave shuts the instance down without interrupting callers: it is removed from /v1/instances and
 // gives up its ownership, keeps serving callers that hold an older response of /v1/instances, and
 // waits for all streams. The background tasks that streams need run until it returns.
-func (in *instance) leave(callers *caller.Server, operators *operator.Server) {
-	in.log.Info().Msg("instance leaves")
+func (in *instance) leave(reason string, callers *caller.Server, operators *operator.Server) {
+	in.log.Info().Str("reason", reason).Msg("instance leaves")
 	callers.Drain()
 	in.components.dialPeer.Drain()
 	in.components.members.Leave()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -13,8 +13,10 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -34,6 +36,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"pollenspindle.example/pollenspindle/internal/errortext"
+	"pollenspindle.example/pollenspindle/internal/logqueue"
 	"pollenspindle.example/pollenspindle/internal/settings"
 )
 
@@ -81,7 +84,7 @@
 	if err := SetLevel(opts.Settings.Log.Level); err != nil {
 		return nil, err
 	}
-	t.Log = zerolog.New(opts.ErrOut).With().Timestamp().Str("instance", opts.Settings.Instance).Logger()
+	t.Log = newLogger(opts.ErrOut, opts.Settings.Instance)
 	t.initMetrics(opts.Settings.Zone)
 	if err := t.initTracer(opts); err != nil {
 		return nil, err
@@ -89,6 +92,25 @@
 	return t, nil
 }
 
+func newLogger(out io.Writer, instance string) zerolog.Logger {
+	return zerolog.New(out).With().Timestamp().Str("instance", instance).Logger()
+}
+
+// maxLogLines is the number of lines that wait to be written; further ones are dropped and counted.
+const maxLogLines = 2048
+
+// NewLogQueue returns an output for the logs of an instance that blocks nothing if nobody reads out, and that
+// says how many lines were dropped once it is read again. It must be closed.
+//
+// A process whose standard output or error nobody reads any more is no longer ended by its next line.
+func NewLogQueue(out io.Writer, instance string) *logqueue.Queue {
+	signal.Ignore(syscall.SIGPIPE)
+	return logqueue.New(out, logqueue.Options{Capacity: maxLogLines, Dropped: func(w io.Writer, n int64) {
+		log := ComponentLogger(newLogger(w, instance), "log")
+		log.Warn().Int64("dropped", n).Msg("log lines dropped")
+	}})
+}
+
 // ComponentLogger returns log with the field part, the name of a component.
 func ComponentLogger(log zerolog.Logger, part string) zerolog.Logger {
 	return log.With().Str("part", part).Logger()
