--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -320,6 +321,8 @@
 		g.opts.Log.Info().Err(err).Msg("calls of other instances are cut")
 		_ = server.Close()
 	}
-	<-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return merry.Prepend(err, "serve instances")
+	}
 	return nil
 }
