--- a/internal/ingressserve/grace.go
+++ b/internal/ingressserve/grace.go
@@ -50,15 +50,15 @@
 	return !now.Before(w.end)
 }
 
-// runWatch notices when the process didn't run. Its zero value is ready to use.
-type runWatch struct {
+// signalWatch estimates when a signal was sent to a process that may not have run since. Its zero value is ready to use.
+type signalWatch struct {
 	mu sync.Mutex
 	// last is when the process last ran, stoppedAt and resumedAt are the ends of the last gap.
 	last, stoppedAt, resumedAt time.Time
 }
 
 // observe notes that the process runs.
-func (w *runWatch) observe(now time.Time) {
+func (w *signalWatch) observe(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.last.IsZero() && now.Sub(w.last) > maxRunGap {
@@ -68,7 +68,7 @@
 }
 
 // sentAt returns the earliest time at which a signal that is handled now may have been sent.
-func (w *runWatch) sentAt(now time.Time) time.Time {
+func (w *signalWatch) sentAt(now time.Time) time.Time {
 	w.observe(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -79,7 +79,7 @@
 }
 
 // run observes until ctx ends.
-func (w *runWatch) run(ctx context.Context) {
+func (w *signalWatch) run(ctx context.Context) {
 	ticker := time.NewTicker(runInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/ingressserve/grace_test.go
+++ b/internal/ingressserve/grace_test.go
@@ -26,7 +26,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var w runWatch
+			var w signalWatch
 			for _, d := range tt.observed {
 				w.observe(at(d))
 			}
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -148,7 +148,7 @@
 	retries      *retry.SharedBudgets
 	follower     *platformstate.Follower
 	server       *ingress.Server
-	runs         runWatch
+	signals      signalWatch
 	background   sync.WaitGroup
 }
 
@@ -216,7 +216,7 @@
 	}
 	in.start(func() { in.observeLimits(backgroundCtx) })
 	in.start(func() { in.watchSettings(backgroundCtx) })
-	in.start(func() { in.runs.run(backgroundCtx) })
+	in.start(func() { in.signals.run(backgroundCtx) })
 	in.start(func() { in.serveMetrics(backgroundCtx) })
 	in.start(func() { in.freeStartupMemory(backgroundCtx) })
 	in.start(func() { failed <- in.gossip.Serve(backgroundCtx, peers) })
@@ -278,7 +278,7 @@
 // leave sends callers to other instances, lets requests complete and closes the server.
 func (in *instance) leave(reason string) {
 	now := time.Now()
-	told := in.runs.sentAt(now)
+	told := in.signals.sentAt(now)
 	in.endsBy = told.Add(in.grace())
 	in.server.Drain(told)
 	in.dialPeer.Drain()
