--- a/internal/callerconn/linger_test.go
+++ b/internal/callerconn/linger_test.go
@@ -8,60 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
-)
 
-// Guards against connections that are closed while the last response is on its way, or that never end.
-func TestEndingWaitsForDelivery(t *testing.T) {
-	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	type look func(t *testing.T, e *ending) bool
-	// after looks after a pause of the process.
-	after := func(d time.Duration, s socketState) look {
-		return func(_ *testing.T, e *ending) bool { return e.isOver(at(d), s) }
-	}
-	// step looks on time until then, and finds the state then.
-	step := func(d time.Duration, s socketState) look {
-		return func(t *testing.T, e *ending) bool {
-			before := socketState{confirms: s.confirms, unconfirmed: e.unconfirmed}
-			for e.lookedAt.Before(at(d - lingerInterval)) {
-				require.False(t, e.isOver(e.lookedAt.Add(lingerInterval), before))
-			}
-			return e.isOver(at(d), s)
-		}
-	}
-	const most = maxLinger
-	tests := map[string]struct {
-		discard bool
-		steps   []look
-	}{
-		"caller closes":                   {true, []look{step(0, socketState{confirms: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"caller closes its sending side":  {true, []look{step(0, socketState{confirms: true, closed: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"reset":                           {true, []look{step(0, socketState{failed: true})}},
-		"rest of a request":               {true, []look{step(0, socketState{confirms: true, unread: true}), step(time.Millisecond, socketState{confirms: true, closed: true})}},
-		"request crosses the end":         {false, []look{step(0, socketState{confirms: true, unread: true})}},
-		"request crosses, not confirmed":  {false, []look{step(0, socketState{confirms: true, unread: true, unconfirmed: 9}), step(time.Millisecond, socketState{confirms: true, unread: true})}},
-		"caller doesn't close":            {true, []look{step(0, socketState{confirms: true}), step(lingerTimeout-1, socketState{confirms: true}), step(lingerTimeout, socketState{confirms: true})}},
-		"caller's machine is gone":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 9})}},
-		"caller reads slowly":             {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerTimeout, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout-1, socketState{confirms: true, unconfirmed: 8}), step(2*lingerTimeout, socketState{confirms: true, unconfirmed: 8})}},
-		"caller reads slowly for long":    {true, []look{step(most-2, socketState{confirms: true, unconfirmed: 9}), step(most-1, socketState{confirms: true, unconfirmed: 8}), step(most, socketState{confirms: true, unconfirmed: 7})}},
-		"paused before the first look":    {true, []look{after(3*lingerTimeout, socketState{confirms: true, unconfirmed: 100}), step(3*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
-		"paused between two looks":        {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), step(lingerInterval, socketState{confirms: true, unconfirmed: 9}), after(2*lingerTimeout, socketState{confirms: true, unconfirmed: 9}), step(2*lingerTimeout+lingerInterval, socketState{confirms: true, closed: true})}},
-		"paused beyond the limit":         {true, []look{step(0, socketState{confirms: true, unconfirmed: 9}), after(2*most, socketState{confirms: true, unconfirmed: 8}), step(2*most+lingerInterval, socketState{confirms: true, closed: true})}},
-		"confirmations unknown, closes":   {true, []look{step(0, socketState{}), step(time.Millisecond, socketState{closed: true})}},
-		"confirmations unknown, stays on": {true, []look{step(0, socketState{}), step(lingerTimeout, socketState{})}},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			e := &ending{lookedAt: at(0), unconfirmed: 100, discard: tt.discard}
-			if name == "caller reads slowly for long" {
-				e.lookedAt, e.waited = at(most-lingerTimeout), most-lingerTimeout
-			}
-			for i, over := range tt.steps {
-				require.Equal(t, i == len(tt.steps)-1, over(t, e), "step %d", i)
-			}
-		})
-	}
-}
+	"pollenspindle.example/pollenspindle/internal/tcpclose"
+)
 
 // Guards against requests that were read and whose connection is closed as idle, since the process had no
 // processor for longer than callers take to send a request.
@@ -136,3 +87,67 @@
 		})
 	}
 }
+
+// Guards against responses that are given up sooner at the end of their connection than in its middle.
+func TestUndeliveredResponseKeepsItsConnection(t *testing.T) {
+	f := start(t, Options{ReadTimeout: testTimeout, WriteTimeout: testTimeout})
+	c := f.dial()
+	require.NoError(t, c.SetReadBuffer(4<<10))
+	c.send(strings.Replace(request("/a", strings.Repeat("x", 256<<10)), "Host: a\r\n", "Host: a\r\nConnection: close\r\n", 1))
+	f.release <- struct{}{}
+	time.Sleep(2 * tcpclose.Timeout)
+	require.Len(t, f.open(), 1)
+	body, closes := c.receive()
+	require.True(t, closes)
+	require.Len(t, body, 256<<10+len("/a"))
+}
+
+// Guards against callers that occupy a processor while their connection ends.
+func TestDiscardedBytesAreLimited(t *testing.T) {
+	f := start(t, Options{ReadTimeout: testTimeout})
+	c := f.dial()
+	c.send(request(refusedPath, ""))
+	sent := 0
+	for err := error(nil); err == nil; {
+		var n int
+		n, err = c.Write(make([]byte, 64<<10))
+		sent += n
+	}
+	// The rest is what the socket buffers of both ends hold.
+	require.Less(t, sent, 16<<20)
+}
+
+// Guards against connections that have ended and keep others from being accepted.
+func TestEndingConnectionsLeaveRoom(t *testing.T) {
+	f := start(t, Options{MaxConnections: 2})
+	exchange := func() {
+		c := f.dial()
+		c.send(strings.Replace(request("/a", ""), "Host: a\r\n", "Host: a\r\nConnection: close\r\n", 1))
+		f.release <- struct{}{}
+		_, closes := c.receive()
+		require.True(t, closes)
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+	for range 6 {
+		exchange()
+	}
+}
+
+// Guards against responses of the last moment before a listener is closed, which are lost with the machine.
+func TestClosedListenerDeliversSentResponses(t *testing.T) {
+	var log logBuffer
+	f := start(t, Options{ReadTimeout: testTimeout, WriteTimeout: testTimeout, Log: zerolog.New(&log)})
+	f.Drain()
+	c := f.dial()
+	c.send(request("/a", "1"))
+	f.release <- struct{}{}
+	_, closes := c.receive()
+	require.True(t, closes)
+	require.Eventually(t, func() bool { return f.countLingering() == 1 }, testTimeout, time.Millisecond)
+	time.AfterFunc(closeTimeout/5, func() { _ = c.Close() })
+	_ = f.Close()
+	require.Len(t, log.ends(t), 1)
+	require.Equal(t, "instance", log.ends(t)[0]["endedBy"])
+	require.Equal(t, true, log.ends(t)[0]["callerClosed"])
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -52,6 +52,9 @@
 	maxAcceptBackoff = time.Second
 	// handshakeTimeout is how long a listener that stops waits for handshakes that have begun.
 	handshakeTimeout = 50 * time.Millisecond
+	// closeTimeout is how long a listener that is closed waits for callers to receive what was sent.
+	closeTimeout      = 100 * time.Millisecond
+	closePollInterval = 5 * time.Millisecond
 )
 
 // Options configures a [Listener].
@@ -61,7 +64,8 @@
 	ReadTimeout time.Duration
 	// WriteTimeout limits each write to a caller that doesn't read.
 	WriteTimeout time.Duration
-	// MaxConnections limits the open connections; further ones are closed at once. 0 means no limit.
+	// MaxConnections limits the connections that callers may use; further ones are closed at once. As many may wait
+	// for their callers to receive what was sent; others end without that. 0 means no limit.
 	MaxConnections int
 	// RequestID is the header field with the ID of a request, for the log; empty for none.
 	RequestID string
@@ -85,6 +89,8 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// lingering is the number of conns that wait for their callers to receive what was sent.
+	lingering int
 	// ended is closed by Close.
 	ended     chan struct{}
 	closeOnce sync.Once
@@ -134,7 +140,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn.beginRequest(l.requestID(c), cancel)
+	if !conn.beginRequest(l.requestID(c), cancel) {
+		c.SetConnectionClose()
+		c.Abort()
+		return
+	}
 	defer func() {
 		conn.endRequest(c.GetReader().Len() > 0)
 		if l.draining.Load() && c.Response.GetHijackWriter() == nil {
@@ -161,6 +171,13 @@
 	}
 }
 
+// Abort cuts the connection of a request.
+func Abort(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
+		conn.abort()
+	}
+}
+
 // Accept implements [net.Listener]. Once the listener has stopped, it returns after Close: the library
 // serves no accepted connection any more after an error of Accept.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -247,13 +264,30 @@
 	switch {
 	case l.isClosed():
 		return nil, net.ErrClosed
-	case l.opts.MaxConnections > 0 && len(l.conns) >= l.opts.MaxConnections:
+	case l.opts.MaxConnections > 0 && len(l.conns)-l.lingering >= l.opts.MaxConnections:
 		return nil, errTooManyConnections
 	}
 	l.conns[conn] = struct{}{}
 	return conn, nil
 }
 
+// beginLinger reports whether one more connection may wait for its caller. endLinger must follow.
+func (l *Listener) beginLinger() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.opts.MaxConnections > 0 && l.lingering >= l.opts.MaxConnections {
+		return false
+	}
+	l.lingering++
+	return true
+}
+
+func (l *Listener) endLinger() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering--
+}
+
 func (l *Listener) remove(conn *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -312,19 +346,34 @@
 	return len(l.open())
 }
 
-// Close closes the listener and all connections.
+// Close closes the listener and cuts the requests in progress. Callers of other connections that end still have
+// closeTimeout to receive their responses.
 func (l *Listener) Close() error {
 	l.stopping.Store(true)
 	err := l.Listener.Close()
 	l.mu.Lock()
 	l.closeOnce.Do(func() { close(l.ended) })
 	l.mu.Unlock()
+	for _, conn := range l.open() {
+		if !conn.isEnding() {
+			conn.abort()
+		}
+	}
+	for until := time.Now().Add(closeTimeout); l.countLingering() > 0 && time.Now().Before(until); {
+		time.Sleep(closePollInterval)
+	}
 	for _, conn := range l.open() {
 		conn.abort()
 	}
 	return err
 }
 
+func (l *Listener) countLingering() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lingering
+}
+
 func (l *Listener) isClosed() bool {
 	select {
 	case <-l.ended:
--- a/internal/callerconn/socket.go
+++ b/internal/callerconn/socket.go
@@ -27,10 +27,3 @@
 	})
 	return err == nil && n > 0
 }
-
-// peek returns the number of bytes that wait in a socket, up to one.
-func peek(fd uintptr) (int, error) {
-	var p [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
--- a/internal/ingressserve/grace.go
+++ b/internal/ingressserve/grace.go
@@ -54,8 +54,8 @@
 	return !now.Before(w.end)
 }
 
-// runWatch notices when the process didn't run. Its zero value is ready to use.
-type runWatch struct {
+// signalWatch estimates when a signal was sent to a process that may not have run since. Its zero value is ready to use.
+type signalWatch struct {
 	mu sync.Mutex
 	// last is when the process last ran, stoppedAt and resumedAt are the ends of the last gap. starvedSince is the
 	// begin of the first one in a series between which the process ran too little to handle signals.
@@ -63,7 +63,7 @@
 }
 
 // observe notes that the process runs.
-func (w *runWatch) observe(now time.Time) {
+func (w *signalWatch) observe(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.last.IsZero() && now.Sub(w.last) > maxRunGap {
@@ -76,7 +76,7 @@
 }
 
 // sentAt returns when a signal that is handled now was probably sent, and the earliest time at which it may have been.
-func (w *runWatch) sentAt(now time.Time) (probably, earliest time.Time) {
+func (w *signalWatch) sentAt(now time.Time) (probably, earliest time.Time) {
 	w.observe(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -100,7 +100,7 @@
 }
 
 // run observes until ctx ends.
-func (w *runWatch) run(ctx context.Context) {
+func (w *signalWatch) run(ctx context.Context) {
 	ticker := time.NewTicker(runInterval)
 	defer ticker.Stop()
 	for {
