--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -50,7 +50,7 @@
 	// once the connection is cut.
 	ending, ended, aborted bool
 	// held is what the connection held as it began to end.
-	held held
+	held contents
 	// idleClosed is set if it was closed as idle.
 	idleClosed bool
 	recordEnd  sync.Once
@@ -190,47 +190,6 @@
 	return err == nil && done
 }
 
-// Write implements [net.Conn].
-func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.write(p)
-	if err != nil {
-		c.socket.Fail()
-		c.recordUnwritten.Do(func() { c.listener.recordUnwritten(c, err) })
-	}
-	return n, err
-}
-
-func (c *Conn) write(p []byte) (written int, err error) {
-	for {
-		if t := c.listener.opts.WriteTimeout; t > 0 {
-			if err := c.SetWriteDeadline(time.Now().Add(t)); err != nil {
-				return written, err
-			}
-		}
-		n, err := c.Conn.Write(p[written:])
-		written += n
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return written, err
-		}
-		// A process that didn't run finds the deadline over before it looks at the socket.
-		if n = c.writeNow(p[written:]); n <= 0 {
-			return written, err
-		}
-		if written += n; written == len(p) {
-			return written, nil
-		}
-	}
-}
-
-// writeNow writes what the socket takes at once, if the caller has made room, and returns the number of bytes.
-func (c *Conn) writeNow(p []byte) (n int) {
-	if !isWritable(c.socket.Raw()) {
-		return 0
-	}
-	_ = c.socket.Raw().Control(func(fd uintptr) { n, _ = syscall.Write(int(fd), p) })
-	return n
-}
-
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -255,58 +214,6 @@
 	return c.ending
 }
 
-// isEnding reports whether nothing more is read.
-func (c *Conn) isEnding() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ending
-}
-
-// beginEnd ends the reading of requests; mu is held.
-func (c *Conn) beginEnd() {
-	if !c.ending {
-		c.ending, c.held = true, c.holds()
-	}
-}
-
-// linger waits until the caller has received what was sent.
-func (c *Conn) linger() {
-	c.mu.Lock()
-	discard := !c.idleClosed && (c.state != idle || c.began)
-	c.mu.Unlock()
-	c.socket.Linger(tcpclose.Options{Now: c.listener.opts.Now, DeliveryTimeout: c.listener.opts.WriteTimeout, Discard: discard})
-}
-
-// Close implements [net.Conn]. It returns once the caller has received what was sent, or doesn't read.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	c.beginEnd()
-	ended, aborted := c.ended, c.aborted
-	c.ended = true
-	c.mu.Unlock()
-	if ended {
-		return nil
-	}
-	if !aborted && c.listener.beginLinger() {
-		c.linger()
-		defer c.listener.endLinger()
-	}
-	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
-	err := c.Conn.Close()
-	c.listener.remove(c)
-	return err
-}
-
-// abort cuts the connection. The library ends it once the handler of its request has returned.
-func (c *Conn) abort() {
-	c.mu.Lock()
-	c.beginEnd()
-	c.aborted = true
-	c.mu.Unlock()
-	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
-	_ = c.Conn.Close()
-}
-
 // beginRequest names the request that is handled, and what is called if the caller leaves meanwhile. It returns
 // false if the connection has been cut.
 func (c *Conn) beginRequest(id string, onGone func()) bool {
@@ -407,16 +314,3 @@
 	n, err := c.socket.Peek()
 	return err == nil && n > 0
 }
-
-// closeIdle ends the connection unless it holds a request.
-func (c *Conn) closeIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.holdsRequest(now) || c.ending {
-		return
-	}
-	c.beginEnd()
-	c.idleClosed = true
-	// The library waits in a read, and closes the connection once that has ended.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -16,21 +16,21 @@
 	endedByAbort endedBy = "abort"
 )
 
-// held says what a connection held as it ended.
-type held string
+// contents is what a connection held as it ended.
+type contents string
 
 const (
-	heldNothing held = "nothing"
+	heldNothing contents = "nothing"
 	// heldPart is the beginning of a request.
-	heldPart held = "partOfRequest"
+	heldPart contents = "partOfRequest"
 	// heldRequest is a request without a response.
-	heldRequest held = "request"
+	heldRequest contents = "request"
 	// heldResponse is a response that was written.
-	heldResponse held = "response"
+	heldResponse contents = "response"
 )
 
 // holds returns what the connection holds; mu is held.
-func (c *Conn) holds() held {
+func (c *Conn) holds() contents {
 	switch {
 	case c.state == handling:
 		return heldRequest
