Log each arrival of a request at a server after its first one

A line `repeat` is written when a retry is drawn, and none when the request arrives, so that requests that draw nothing, and repeats that wait between draw and arrival, don't show. `repeat sent` and the counter `repeats_sent` have the way, the outcome, the account and the time since the draw. The time is taken as the connection is open, before the first byte. No logic changes.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -102,6 +102,9 @@
 	Stream bool
 	// MaxBuffered, if not 0, does so too if the body is longer, in bytes, or of unknown length.
 	MaxBuffered int
+	// BeforeSend, if set, is called once the connection is open, before the first byte of the request is sent.
+	// Its error ends the exchange as not sent.
+	BeforeSend func() error
 }
 
 // Client does HTTP exchanges. It is safe for concurrent use.
@@ -167,6 +170,11 @@
 	if err := r.conn.SetWriteTimeout(c.opts.WriteTimeout); err != nil {
 		return merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	if call.BeforeSend != nil {
+		if err := call.BeforeSend(); err != nil {
+			return merry.Wrap(ErrNotSent, merry.WithCause(err))
+		}
+	}
 	if err := reqcodec.Write(req, r.conn); err != nil {
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
 	}
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -191,3 +191,16 @@
 	resp.Close()
 	require.Nil(t, c.pool.take(s.address(), time.Now()))
 }
+
+// Guards against a request that reaches its server although it wasn't allowed to be sent.
+func TestBeforeSendEndsExchange(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	s := serve(t, func(http.ResponseWriter, *http.Request) { reached <- struct{}{} })
+	c := New(Options{})
+	t.Cleanup(c.Close)
+	_, err := get(t.Context(), c, s.address(), Call{SingleUse: true, BeforeSend: func() error { return io.ErrClosedPipe }})
+	require.ErrorIs(t, err, ErrNotSent)
+	require.ErrorIs(t, err, io.ErrClosedPipe)
+	s.Close()
+	require.Empty(t, reached)
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -157,7 +157,7 @@
 	defer s.opts.Balancer.Release(place)
 	ctx, cancel := context.WithCancel(attemptContext{ctx, deadline})
 	timer := time.AfterFunc(deadline.Sub(now), cancel)
-	response, err := s.forward(ctx, r, place, nil, false)
+	response, err := s.forward(ctx, r, place, repeatAttempt, nil, false)
 	if err == nil && response.Partial && timer.Stop() {
 		// The rest of the body is relayed, until the caller's deadline.
 		timer.Reset(r.callerDeadline.Sub(s.opts.Now()))
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -258,5 +258,5 @@
 // resumeNextRun continues a stream whose run was ended by giveUp.
 func (cs *callerStream) resumeNextRun(ctx context.Context, place balancer.Placement) (*upstream.Response, error) {
 	cs.switchTo(place)
-	return cs.send(ctx, place)
+	return cs.send(ctx, place, repeatNewRun)
 }
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -19,7 +19,7 @@
 
 // forward sends a request to the placed server and records what the server asks for in its
 // response. Every request of a caller goes through it.
-func (s *Server) forward(ctx context.Context, r *request, place balancer.Placement, extra []service.Header, stream bool) (*upstream.Response, error) {
+func (s *Server) forward(ctx context.Context, r *request, place balancer.Placement, kind repeatKind, extra []service.Header, stream bool) (*upstream.Response, error) {
 	if !s.mayRunOn(r, &place.Server) {
 		return nil, merry.Wrap(errOtherVersion)
 	}
@@ -28,7 +28,11 @@
 		return nil, err
 	}
 	sentAt := s.opts.Now()
-	response, err := s.upstream.Do(ctx, place.Server.Address, s.upstreamRequest(sentAt, r, place, extra), stream)
+	arrival := arrival{kind: kind, server: place.Server.ID}
+	req := s.upstreamRequest(sentAt, r, place, extra)
+	req.BeforeSend = func() error { r.sends.arrive(s.opts.Now(), &arrival); return nil }
+	response, err := s.upstream.Do(ctx, place.Server.Address, req, stream)
+	s.recordArrival(r, arrival, response, err)
 	if err == nil && s.isFrom(place.Server, r, response) {
 		s.recordLimit(sentAt, place.Server, response)
 		s.recordPause(place.Server, response)
--- a/internal/ingress/repeats.go
+++ b/internal/ingress/repeats.go
@@ -23,6 +23,9 @@
 // repeat asks the retry budget whether a request may be sent to another server.
 func (s *Server) repeat(now time.Time, r *request, kind repeatKind, a retry.Attempt) (retry.Again, bool) {
 	again, ok := s.opts.Retries.Decide(now, r.service.Name, a).(retry.Again)
+	if ok {
+		r.sends.recordDraw(now, again.From)
+	}
 	s.recordRepeat(now, r, kind, ok)
 	return again, ok
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -74,6 +74,7 @@
 	parts  []uint64
 	trials atomic.Pointer[[]uint64]
 	run    run
+	sends  sends
 	// lastPartCounted says that a crash has counted against the last part; see [crashChecks].
 	lastPartCounted bool
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -84,7 +84,7 @@
 		}
 	})
 	defer timer.Stop()
-	response, err := s.forward(ctx, r, place, nil, true)
+	response, err := s.forward(ctx, r, place, repeatAttempt, nil, true)
 	if err != nil {
 		return classifyError(err)
 	}
@@ -366,7 +366,7 @@
 		// Silence is detected on the server that the stream is on.
 		cs.switchTo(point.target)
 	}
-	response, err := cs.send(ctx, point.target, from)
+	response, err := cs.send(ctx, point.target, repeatCopy, from)
 	if cs.s.silence == nil {
 		cs.switchTo(point.target)
 	}
@@ -397,18 +397,18 @@
 			return response, nil
 		}
 		if !refusedCopy(err) {
-			return cs.send(ctx, place)
+			return cs.send(ctx, place, repeatRestart)
 		}
 		if _, ok := cs.s.repeat(cs.s.opts.Now(), cs.r, repeatRestart, retry.Attempt{Number: 1, Cause: retry.CauseLost}); !ok {
 			return nil, errNotResumable
 		}
-		return cs.send(ctx, place)
+		return cs.send(ctx, place, repeatRestart)
 	}
 	cs.switchTo(place)
-	return cs.send(ctx, place)
+	return cs.send(ctx, place, repeatRestart)
 }
 
-func (cs *callerStream) send(ctx context.Context, place balancer.Placement, extra ...service.Header) (*upstream.Response, error) {
+func (cs *callerStream) send(ctx context.Context, place balancer.Placement, kind repeatKind, extra ...service.Header) (*upstream.Response, error) {
 	if last := cs.stream.lastEventID(); last > 0 {
 		extra = append(extra, service.Header{Name: cs.s.fields.LastEventID, Value: strconv.FormatInt(last, 10)})
 	}
@@ -420,7 +420,7 @@
 	}
 	cs.s.beginRun(cs.r)
 	ctx = cs.askRest(ctx)
-	response, err := cs.s.forward(ctx, cs.r, place, extra, true)
+	response, err := cs.s.forward(ctx, cs.r, place, kind, extra, true)
 	if err != nil {
 		if classifyError(err).cause == retry.CauseLost && ctx.Err() == nil {
 			cs.s.reportCrash(place.Server, cs.r)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -67,7 +67,11 @@
 
 // Again means that the work is retried on another server after a delay, preferably
 // in another availability zone.
-type Again struct{ Delay time.Duration }
+type Again struct {
+	Delay time.Duration
+	// From is the account of a shared budget that the retry was taken from.
+	From Account
+}
 
 // GiveUp means that the failure is returned to the caller.
 type GiveUp struct{}
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -50,6 +50,15 @@
 	Slack float64
 }
 
+// Account is a part of a shared budget that retries are taken from.
+type Account string
+
+// The accounts of a shared budget.
+const (
+	FromRatio Account = "ratio"
+	FromSlack Account = "slack"
+)
+
 // SharedPart says which part of the limits an instance has.
 type SharedPart struct {
 	// Instances is the number of instances that share the limits, including those that can't be reached. Rank
@@ -136,13 +145,14 @@
 	return ratio/2*float64(requests) - float64(used)
 }
 
-// spend spends one retry.
-func (b *sharedBudget) spend(number int64, ratio float64) {
+// spend spends one retry and returns the account that it was taken from.
+func (b *sharedBudget) spend(number int64, ratio float64) Account {
 	if b.earned(number, ratio) >= 1 {
 		b.slotAt(number).used++
-		return
+		return FromRatio
 	}
 	b.slack--
+	return FromSlack
 }
 
 // SharedOptions configures [SharedBudgets].
@@ -192,8 +202,8 @@
 	if a.Cause == CauseOverload || a.Number >= attemptLimit(a.Cause) || b.remaining(now, budget) < 1 {
 		return GiveUp{}
 	}
-	budget.spend(b.slotNumber(now), b.opts.Limits.Ratio)
-	return Again{Delay: backoff(b.opts.Rand, a)}
+	from := budget.spend(b.slotNumber(now), b.opts.Limits.Ratio)
+	return Again{Delay: backoff(b.opts.Rand, a), From: from}
 }
 
 // Charge spends one retry for a repeat that was sent without asking, as far as the budget remembers it: what
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,9 @@
 	Host   string
 	Header []service.Header
 	Body   []byte
+	// BeforeSend, if set, is called once the connection is open, before the first byte is sent. Its error ends
+	// the exchange as not sent.
+	BeforeSend func() error
 }
 
 // Response is the response of a backend server. Close must be called.
@@ -128,7 +131,7 @@
 func (c *Client) Do(ctx context.Context, address string, req Request, stream bool) (*Response, error) {
 	r := encode(address, req)
 	defer protocol.ReleaseRequest(r)
-	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: true, Stream: stream, MaxBuffered: ShortBody})
+	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: true, Stream: stream, MaxBuffered: ShortBody, BeforeSend: req.BeforeSend})
 	if err != nil {
 		return nil, err
 	}
