Draw retries as requests are sent

Callers saw nothing of it: servers got up to 275 repeats in 10 s where 101 are allowed over all instances, and the same servers fail the more for it.

Cause: a limit was kept at places that decide to repeat, not at the one that sends. Requests that go on from a copy had no such place. A refused copy was charged afterwards, to an account that forgets debt beyond one part; one that was reset or not answered never, and the request was sent again on the same draw. And a retry was drawn when it was decided, before backoff, queue and dial, so that those of several windows may arrive in one.

Now a decision only reserves a retry, and each arrival after a request's first one draws it once the connection is open, before the first byte, whatever the way. There is one place that sends, so that no way is left out and no debt arises. A copy gets its retry back as its server goes on; other repeats leave one for copies, and a generation is stopped only once there is a retry, so that moves that work cost nothing.

The rows of TestSharedBudgets for charged repeats are replaced, since nothing can be charged any more, by rows for retries that are drawn, given back, reserved and released.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -105,6 +105,7 @@
 	}
 	t := &attempts{excluded: map[string]bool{}, resuming: r.resumesStream()}
 	defer t.dropResponse()
+	defer func() { r.sends.end(s.opts.Now(), s.opts.Retries, r.service.Name) }()
 	for {
 		now := s.opts.Now()
 		if !now.Before(r.startDeadline) {
@@ -220,6 +221,8 @@
 
 func classifyError(err error) failed {
 	switch {
+	case errors.Is(err, errNoRetryLeft):
+		return failed{cause: retry.CauseOverload, err: err}
 	case errors.Is(err, httpclient.ErrNotSent):
 		return failed{cause: retry.CauseNotSent, err: err}
 	case errors.Is(err, errOtherVersion):
@@ -294,12 +297,14 @@
 			s.recordOutcome(place.Server, r, rollout.MetricAnswer, true, 0)
 			s.awaitCrashCheck(ctx, r, s.reportCrash(place.Server, r))
 		}
-		if res.cause != retry.CauseRefused && !s.opts.LinksLost() {
+		if res.cause != retry.CauseRefused && res.cause != retry.CauseOverload && !s.opts.LinksLost() {
 			s.opts.Balancer.RecordFailure(now, id)
 		}
-		if res.cause == retry.CauseNotSent {
+		switch res.cause {
+		case retry.CauseNotSent:
 			t.failedDials++
-		} else {
+		case retry.CauseOverload:
+		default:
 			t.sends++
 		}
 		if res.mayHaveRun {
@@ -335,7 +340,8 @@
 	case f.mayHaveRun && (!r.route.Repeatable() || t.possibleRuns >= r.route.MaxAttempts):
 		return false, s.giveUp(c, r, t, lostFailure())
 	}
-	decision, ok := s.repeat(now, r, repeatAttempt, retry.Attempt{Number: max(1, t.sends), Cause: f.cause})
+	// Each dial beyond maxDials counts as an attempt.
+	decision, ok := s.repeat(now, r, repeatAttempt, retry.Attempt{Number: max(1, t.sends, t.failedDials+1-maxDials), Cause: f.cause})
 	if !ok || now.Add(decision.Delay).After(r.startDeadline) {
 		return false, s.giveUp(c, r, t, refusedFailure(s.rng().Int64N(int64(fullRetryJitter))))
 	}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -146,10 +146,12 @@
 	}
 	place, refusal := s.chooseServer(ctx, now, r, &attempts{excluded: map[string]bool{m.source.ID: true}, resuming: true})
 	if refusal != nil {
+		s.releaseRetry(r)
 		s.log.Info().Str("request", r.id).Str("server", m.source.ID).Err(refusal).Msg("no new run for a stream that can't be copied in time")
 		return false
 	}
 	if !m.stream.giveUp(m.source.ID, place) {
+		s.releaseRetry(r)
 		s.opts.Balancer.Release(place)
 		return true
 	}
--- a/internal/ingress/migrator.go
+++ b/internal/ingress/migrator.go
@@ -179,8 +179,18 @@
 
 // cutOver stops the generation and passes the result to the handler of the stream. If the engine
 // can't be reached any more, the generation resumes from its copy.
+//
+// The generation runs on until there is a retry for the request to its copy: once it has stopped, it can't go on
+// without one.
 func (m *migrator) cutOver(ctx context.Context) {
-	if !m.stream.beginCutover(m.source.ID) {
+	limit := maxRetryWait
+	if m.hasNotice() {
+		limit = maxTransferWait
+	}
+	until := m.s.opts.Now().Add(limit)
+	err := m.s.awaitRetry(ctx, m.stream.request, func(now time.Time) bool { return now.Before(until) && m.stream.runsOn(m.source.ID) })
+	if err != nil || !m.stream.beginCutover(m.source.ID) {
+		m.s.releaseRetry(m.stream.request)
 		m.abandon(ctx)
 		return
 	}
@@ -194,6 +204,7 @@
 		// The engine has answered that it hasn't stopped the generation, which continues there or
 		// has ended. Only a generation that the engine doesn't know may need its copy.
 		m.stream.cancelCutover()
+		m.s.releaseRetry(m.stream.request)
 		if status != http.StatusNotFound {
 			m.abandon(ctx)
 		}
--- a/internal/ingress/pushback.go
+++ b/internal/ingress/pushback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/service"
@@ -30,9 +32,11 @@
 	sentAt := s.opts.Now()
 	arrival := arrival{kind: kind, server: place.Server.ID}
 	req := s.upstreamRequest(sentAt, r, place, extra)
-	req.BeforeSend = func() error { r.sends.arrive(s.opts.Now(), &arrival); return nil }
+	req.BeforeSend = func() error { return s.admit(r, &arrival) }
 	response, err := s.upstream.Do(ctx, place.Server.Address, req, stream)
-	s.recordArrival(r, arrival, response, err)
+	if !errors.Is(err, httpclient.ErrNotSent) {
+		s.endArrival(r, arrival, s.sendOutcome(r, response, err))
+	}
 	if err == nil && s.isFrom(place.Server, r, response) {
 		s.recordLimit(sentAt, place.Server, response)
 		s.recordPause(place.Server, response)
--- a/internal/ingress/repeats.go
+++ b/internal/ingress/repeats.go
@@ -1,9 +1,12 @@
 package ingress
 
 import (
-	"errors"
+	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"pollenspindle.example/pollenspindle/internal/objectapi"
 	"pollenspindle.example/pollenspindle/internal/retry"
 )
 
@@ -16,16 +19,30 @@
 	repeatAttempt repeatKind = "attempt"
 	repeatRestart repeatKind = "restart"
 	repeatNewRun  repeatKind = "newRun"
-	// repeatCopy is a request for a generation's copy that its server has refused.
+	// repeatCopy is a request that goes on from a generation's copy. It is a repeat unless its server goes on.
 	repeatCopy repeatKind = "copy"
 )
 
-// repeat asks the retry budget whether a request may be sent to another server.
+const (
+	// maxRetryWait is how long a stream that has stopped waits for a retry for the request to its copy. Copies
+	// that go on give theirs back within some tenths of a second.
+	maxRetryWait = time.Second
+	// retriesForCopies is the number of retries that other repeats leave for the requests to copies: one that is
+	// given back each time lets all streams of a leaving engine go on.
+	retriesForCopies = 1
+	// retryPollInterval is how often a waiting stream asks for a retry.
+	retryPollInterval = 10 * time.Millisecond
+)
+
+// errNoRetryLeft means that a request wasn't sent because the retry budget is exhausted.
+var errNoRetryLeft = merry.Sentinel("the retry budget is exhausted")
+
+// repeat asks the retry budget whether a request may be sent to another server, and reserves the retry.
 func (s *Server) repeat(now time.Time, r *request, kind repeatKind, a retry.Attempt) (retry.Again, bool) {
-	again, ok := s.opts.Retries.Decide(now, r.service.Name, a).(retry.Again)
-	if ok {
-		r.sends.recordDraw(now, again.From)
+	if e := r.service.Engine; e != nil && e.SupportsMigration {
+		a.Keep = retriesForCopies
 	}
+	again, ok := r.sends.decide(now, s.opts.Retries, r.service.Name, a)
 	s.recordRepeat(now, r, kind, ok)
 	return again, ok
 }
@@ -39,18 +56,46 @@
 	}
 }
 
-// refusedCopy reports whether the server of a generation's copy has answered that it doesn't go on with it.
-func refusedCopy(err error) bool {
-	return errors.Is(err, errRefused) || errors.Is(err, errServerFailed) || errors.Is(err, errForeignResponse)
+// awaitRetry reserves a retry for the request to a generation's copy, waiting for one while goesOn returns true.
+func (s *Server) awaitRetry(ctx context.Context, r *request, goesOn func(now time.Time) bool) error {
+	for {
+		now := s.opts.Now()
+		if r.sends.reserve(now, s.opts.Retries, r.service.Name) {
+			return nil
+		}
+		if !goesOn(now) || objectapi.Sleep(ctx, retryPollInterval) != nil {
+			s.recordRepeat(now, r, repeatCopy, false)
+			return merry.Wrap(errNoRetryLeft)
+		}
+	}
+}
+
+// releaseRetry gives up the retry that is reserved for a request.
+func (s *Server) releaseRetry(r *request) {
+	r.sends.release(s.opts.Now(), s.opts.Retries, r.service.Name)
+}
+
+// admit decides whether a request is sent over a connection that is open. The first arrival of a request is free,
+// each other one draws a retry.
+func (s *Server) admit(r *request, a *arrival) error {
+	now := s.opts.Now()
+	if !r.sends.begin(now, s.opts.Retries, r.service.Name, a) {
+		s.recordRepeat(now, r, a.kind, false)
+		return merry.Wrap(errNoRetryLeft)
+	}
+	return nil
 }
 
-// chargeRefusedCopy charges the retry budget for a copy that its server has refused. A run that goes on from
-// its copy is no repeat, so that the budget isn't asked before.
-func (cs *callerStream) chargeRefusedCopy(err error) {
-	if !refusedCopy(err) {
+// endArrival records what has become of a request that was sent. A copy that its server goes on from is no repeat.
+func (s *Server) endArrival(r *request, a arrival, outcome sendOutcome) {
+	if !a.repeated {
 		return
 	}
-	now := cs.s.opts.Now()
-	cs.s.opts.Retries.Charge(now, cs.r.service.Name)
-	cs.s.recordRepeat(now, cs.r, repeatCopy, true)
+	now := s.opts.Now()
+	if a.kind == repeatCopy && outcome == outcomeAccepted {
+		s.opts.Retries.Return(now, a.draw)
+	}
+	s.log.Info().Str("request", r.id).Str("service", r.service.Name).Str("server", a.server).Str("kind", string(a.kind)).Str("outcome", string(outcome)).
+		Str("drawnFrom", string(a.draw.From)).Dur("sinceDecision", a.sinceDecision()).Dur("ago", now.Sub(a.draw.At)).Msg("repeat sent")
+	s.opts.Scope.Tagged(map[string]string{"kind": string(a.kind), "outcome": string(outcome), "drawnFrom": string(a.draw.From)}).Counter("repeats_sent").Inc(1)
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -290,7 +290,6 @@
 		if err == nil {
 			return response, nil
 		}
-		cs.chargeRefusedCopy(err)
 		cs.s.log.Warn().Str("request", cs.r.id).Err(err).Msg("migrated generation not resumed")
 		if errors.Is(err, errMovedOn) {
 			return nil, err
@@ -301,7 +300,6 @@
 		if err == nil {
 			return response, nil
 		}
-		cs.chargeRefusedCopy(err)
 		cs.s.log.Warn().Str("request", cs.r.id).Err(err).Msg("generation not resumed from its copy")
 		if errors.Is(err, errMovedOn) {
 			return nil, err
@@ -332,6 +330,9 @@
 // The target engine lacks only the last tokens and computes them again. The source engine, if it is
 // still running, is asked to stop first: the generation must not run on two engines.
 func (cs *callerStream) resumeFromCopy(ctx context.Context, point resumePoint) (*upstream.Response, error) {
+	if err := cs.awaitRetry(ctx, point); err != nil {
+		return nil, err
+	}
 	if !cs.stopSource(ctx, point) {
 		cs.s.opts.Balancer.Release(point.target)
 		return nil, errSourceStillRuns
@@ -361,6 +362,9 @@
 
 // resumeAt sends the request to the engine that has the KV cache.
 func (cs *callerStream) resumeAt(ctx context.Context, point resumePoint) (*upstream.Response, error) {
+	if err := cs.awaitRetry(ctx, point); err != nil {
+		return nil, err
+	}
 	from := service.Header{Name: cs.s.fields.ResumeFrom, Value: cs.s.opts.Dialect.EncodeResumeFrom(point.sourceAddress, point.handle)}
 	if cs.s.silence != nil {
 		// Silence is detected on the server that the stream is on.
@@ -375,6 +379,17 @@
 	return response, err
 }
 
+// awaitRetry reserves a retry for the request to a copy, or gives the copy up.
+func (cs *callerStream) awaitRetry(ctx context.Context, point resumePoint) error {
+	until := cs.s.opts.Now().Add(maxRetryWait)
+	err := cs.s.awaitRetry(ctx, cs.r, func(now time.Time) bool { return now.Before(until) })
+	if err != nil {
+		cs.s.opts.Balancer.Release(point.target)
+		cs.s.discardCopy(point)
+	}
+	return err
+}
+
 // restartElsewhere requests a resumable stream from another server, starting after its last event.
 func (cs *callerStream) restartElsewhere(ctx context.Context) (*upstream.Response, error) {
 	now := cs.s.opts.Now()
@@ -393,11 +408,8 @@
 	}
 	if point.handle != "" {
 		response, err := cs.resumeAt(ctx, point)
-		if err == nil {
-			return response, nil
-		}
-		if !refusedCopy(err) {
-			return cs.send(ctx, place, repeatRestart)
+		if err == nil || errors.Is(err, errNoRetryLeft) {
+			return response, err
 		}
 		if _, ok := cs.s.repeat(cs.s.opts.Now(), cs.r, repeatRestart, retry.Attempt{Number: 1, Cause: retry.CauseLost}); !ok {
 			return nil, errNotResumable
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,7 +13,10 @@
 //
 //	budgets := retry.NewSharedBudgets(now, retry.SharedOptions{Limits: limits, Part: part, Rand: rng})
 //	budgets.RecordSuccess(now, sentAt, "llm")
-//	decision := budgets.Decide(now, "llm", attempt)
+//	if again, ok := budgets.Decide(now, "llm", attempt).(retry.Again); ok {
+//		// wait again.Delay, connect to another server, then
+//		draw, ok := budgets.Draw(now, "llm", true)
+//	}
 package retry
 
 import (
@@ -60,6 +63,9 @@
 	// Number counts the attempts made, from 1.
 	Number int
 	Cause  Cause
+	// Keep is the number of retries of a shared budget that are left for requests that give theirs back, as far as
+	// an instance may hold more than one.
+	Keep int
 }
 
 // Decision is [Again] or [GiveUp].
@@ -67,11 +73,7 @@
 
 // Again means that the work is retried on another server after a delay, preferably
 // in another availability zone.
-type Again struct {
-	Delay time.Duration
-	// From is the account of a shared budget that the retry was taken from.
-	From Account
-}
+type Again struct{ Delay time.Duration }
 
 // GiveUp means that the failure is returned to the caller.
 type GiveUp struct{}
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -20,6 +20,10 @@
 //   - Ratio. A success adds half of Ratio, for a window from when its request was sent. What is spent in a window
 //     thus comes from the requests of that window and of the one before.
 //
+// A retry is spent by [SharedBudgets.Draw], at the moment at which the request is sent, so that repeats that were
+// decided in several windows and wait for a server can't arrive in one. Deciding only reserves a retry: it isn't
+// promised to others, and still counts against what an account may hold.
+//
 // What happens to instances, and the result:
 //
 //   - They start, are killed or frozen, at any times: within the limits.
@@ -33,13 +37,11 @@
 //
 // The ways by which a request reaches a second server, and the result:
 //
-//   - Another attempt, a request for the rest of a stream, a new run of a stream that can't be copied: they ask
-//     [SharedBudgets.Decide] before.
-//   - Another server after a connection that wasn't opened: no repeat, as nothing has arrived.
-//   - A run that goes on from a copy or on the engine that it was moved to: no repeat. If the server refuses it,
-//     [SharedBudgets.Charge] takes it from what is left or added later: within the limits unless many are refused
-//     at once.
-//   - Crash checks, load reports and connections for other instances: no requests.
+//   - Another attempt, a request for the rest of a stream, a new run of a stream that can't be copied: drawn.
+//   - Another server after a connection that wasn't opened: no repeat, as nothing has arrived and nothing is drawn.
+//   - A run that goes on from a copy or on the engine that it was moved to: no repeat, but one if the server doesn't
+//     go on with it. It is drawn, and given back by [SharedBudgets.Return] once the server goes on.
+//   - Crash checks, load reports, commands for copies and connections for other instances: no requests.
 //   - Calls that a server makes while it runs a repeat: not known here, and not counted.
 type SharedLimits struct {
 	// Window is the length of the spans of time for which the limits hold.
@@ -98,6 +100,8 @@
 type sharedBudget struct {
 	slack    float64
 	filledAt time.Time
+	// reserved is the number of retries that were decided and aren't sent yet.
+	reserved int
 	// slots are those of the present window and one more.
 	slots [slotCount + 1]slot
 }
@@ -111,13 +115,13 @@
 		}
 		b.filledAt = now
 	}
-	b.slack = max(-limit, min(limit, b.slack))
+	b.slack = min(limit, b.slack)
 }
 
 // dropSlack drops the slack that was saved until the part was lost.
 func (b *sharedBudget) dropSlack(lostAt time.Time) {
 	if b.filledAt.Before(lostAt) {
-		b.slack, b.filledAt = min(0, b.slack), lostAt
+		b.slack, b.filledAt = 0, lostAt
 	}
 }
 
@@ -155,6 +159,28 @@
 	return FromSlack
 }
 
+// unspend takes back a retry that was spent from what successes have added, if its slot is still known.
+func (b *sharedBudget) unspend(number int64) {
+	if s := &b.slots[number%int64(len(b.slots))]; s.number == number && s.used > 0 {
+		s.used--
+	}
+}
+
+// release gives a reservation up.
+func (b *sharedBudget) release() { b.reserved = max(0, b.reserved-1) }
+
+// available returns the retries of both accounts: a retry is taken from one of them.
+func (b *sharedBudget) available(number int64, ratio float64) float64 {
+	return math.Floor(max(0, b.earned(number, ratio))) + b.slack
+}
+
+// Draw is a retry that was spent.
+type Draw struct {
+	Service string
+	At      time.Time
+	From    Account
+}
+
 // SharedOptions configures [SharedBudgets].
 type SharedOptions struct {
 	Limits SharedLimits
@@ -194,24 +220,71 @@
 	}
 }
 
-// Decide returns whether to retry, and if so, spends one retry of the service's budget.
+// Decide returns whether to retry, and if so, reserves one retry of the service's budget, which is to be drawn as
+// the request is sent, or released.
 func (b *SharedBudgets) Decide(now time.Time, service string, a Attempt) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.budget(now, service)
-	if a.Cause == CauseOverload || a.Number >= attemptLimit(a.Cause) || b.remaining(now, budget) < 1 {
+	_, limit := b.opts.Limits.perWindow(b.opts.Part(now, service))
+	kept := min(float64(a.Keep), max(0, limit-1))
+	if a.Cause == CauseOverload || a.Number >= attemptLimit(a.Cause) || b.remaining(now, budget) < 1+kept {
 		return GiveUp{}
 	}
-	from := budget.spend(b.slotNumber(now), b.opts.Limits.Ratio)
-	return Again{Delay: backoff(b.opts.Rand, a), From: from}
+	budget.reserved++
+	return Again{Delay: backoff(b.opts.Rand, a)}
 }
 
-// Charge spends one retry for a repeat that was sent without asking, as far as the budget remembers it: what
-// is missing is taken from what is added later.
-func (b *SharedBudgets) Charge(now time.Time, service string) {
+// Reserve reserves one retry of the service's budget and reports whether there is one.
+func (b *SharedBudgets) Reserve(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget(now, service).spend(b.slotNumber(now), b.opts.Limits.Ratio)
+	budget := b.budget(now, service)
+	if b.remaining(now, budget) < 1 {
+		return false
+	}
+	budget.reserved++
+	return true
+}
+
+// Release gives a reserved retry up.
+func (b *SharedBudgets) Release(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(now, service).release()
+}
+
+// Draw spends a retry that was reserved, or that nobody has reserved. It must be called as the request is sent.
+// False means that the request may not be sent: a reserved retry is gone if it was earned by requests that have
+// left the window.
+func (b *SharedBudgets) Draw(now time.Time, service string, reserved bool) (Draw, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget, number := b.budget(now, service), b.slotNumber(now)
+	left := b.remaining(now, budget)
+	if reserved {
+		budget.release()
+		left = budget.available(number, b.opts.Limits.Ratio)
+	}
+	if left < 1 {
+		return Draw{}, false
+	}
+	return Draw{Service: service, At: now, From: budget.spend(number, b.opts.Limits.Ratio)}, true
+}
+
+// Return gives back a retry whose request was no repeat.
+func (b *SharedBudgets) Return(now time.Time, d Draw) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.budget(now, d.Service)
+	if d.From == FromRatio {
+		budget.unspend(b.slotNumber(d.At))
+		return
+	}
+	if d.At.After(b.lostAt) {
+		budget.slack++
+		budget.fill(now, b.opts.Limits, b.opts.Part(now, d.Service))
+	}
 }
 
 // Remaining returns how many retries of service may be made immediately.
@@ -221,10 +294,9 @@
 	return b.remaining(now, b.budget(now, service))
 }
 
-// remaining returns what either account allows: a retry is taken from one of them.
+// remaining returns what is available and not reserved.
 func (b *SharedBudgets) remaining(now time.Time, budget *sharedBudget) float64 {
-	earned := math.Floor(max(0, budget.earned(b.slotNumber(now), b.opts.Limits.Ratio)))
-	return earned + budget.slack
+	return budget.available(b.slotNumber(now), b.opts.Limits.Ratio) - float64(budget.reserved)
 }
 
 // slotNumber returns the number of the slot of a time, below zero before the start.
--- a/internal/retry/shared_test.go
+++ b/internal/retry/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,17 @@
 	instances []*sharedInstance
 	// sent and repeats have the requests and the repeats of each tenth of a second.
 	sent, repeats []int
+	// dueAt returns when a repeat that is decided now is sent; nil for at once.
+	dueAt   func(now time.Time) time.Time
+	waiting []waitingRepeat
+	// copies is the share of requests that go on from a copy, failingCopies the share of these that fail.
+	copies, failingCopies float64
+}
+
+// waitingRepeat is a repeat that was decided and waits for a server.
+type waitingRepeat struct {
+	in  *sharedInstance
+	due time.Time
 }
 
 type sharedInstance struct {
@@ -56,13 +68,54 @@
 			in.budgets.RecordSuccess(now, now.Add(-time.Duration(f.rng.IntN(300))*time.Millisecond), "desk")
 			continue
 		}
+		if f.rng.Float64() < f.copies {
+			repeats += f.sendCopy(now, in)
+			continue
+		}
 		if _, ok := in.budgets.Decide(now, "desk", Attempt{Number: 1, Cause: CauseLost}).(Again); ok {
-			repeats++
+			due := now
+			if f.dueAt != nil {
+				due = f.dueAt(now)
+			}
+			f.waiting = append(f.waiting, waitingRepeat{in, due})
 		}
 	}
+	repeats += f.sendWaiting(now)
 	f.sent, f.repeats = append(f.sent, sent), append(f.repeats, repeats)
 }
 
+// sendCopy sends a request that goes on from a copy, and returns the number of repeats.
+func (f *sharedFleet) sendCopy(now time.Time, in *sharedInstance) int {
+	draw, ok := in.budgets.Draw(now, "desk", false)
+	if !ok {
+		return 0
+	}
+	if f.rng.Float64() < f.failingCopies {
+		return 1
+	}
+	in.budgets.Return(now, draw)
+	return 0
+}
+
+// sendWaiting sends the repeats that are due, and returns their number.
+func (f *sharedFleet) sendWaiting(now time.Time) (sent int) {
+	var waiting []waitingRepeat
+	for _, w := range f.waiting {
+		if now.Before(w.due) || now.Before(w.in.frozenUntil) {
+			waiting = append(waiting, w)
+			continue
+		}
+		if _, ok := w.in.budgets.Draw(now, "desk", true); ok && f.runs(w.in) {
+			sent++
+		}
+	}
+	f.waiting = waiting
+	return sent
+}
+
+// runs reports whether an instance hasn't been killed.
+func (f *sharedFleet) runs(in *sharedInstance) bool { return slices.Contains(f.instances, in) }
+
 // excess returns the most repeats beyond the limits in any window.
 func (f *sharedFleet) excess() float64 {
 	n := int(f.limits.Window / fleetTick)
@@ -90,7 +143,10 @@
 		idle time.Duration
 		// failing returns the share of the requests that fail.
 		failing func(at time.Duration) float64
-		disturb func(f *sharedFleet, now time.Time, at time.Duration)
+		// dueAt, copies and failingCopies are those of the fleet.
+		dueAt                 func(now time.Time) time.Time
+		copies, failingCopies float64
+		disturb               func(f *sharedFleet, now time.Time, at time.Duration)
 	}{
 		"all fail":            {instances: 7, slack: 54, failing: func(time.Duration) float64 { return 1 }},
 		"calm, then all fail": {instances: 7, slack: 54, failing: afterCalm},
@@ -121,6 +177,16 @@
 				}
 			}
 		}},
+		"repeats wait for servers": {instances: 7, slack: 54, failing: afterCalm, dueAt: nextReturn},
+		"repeats wait, frozen": {instances: 7, slack: 54, failing: afterCalm, dueAt: nextReturn, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
+			if at%(20*time.Second) == 12*time.Second {
+				for _, in := range f.instances {
+					in.frozenUntil = now.Add(6 * time.Second)
+				}
+			}
+		}},
+		"copies fail":                {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1},
+		"copies fail, repeats too":   {instances: 7, slack: 54, failing: afterCalm, copies: 0.5, failingCopies: 0.3, dueAt: nextReturn},
 		"no slack, fail in turn":     {instances: 1, failing: func(at time.Duration) float64 { return float64(at / (10 * time.Second) % 2) }},
 		"fleet, calm, then all fail": {instances: 985, slack: 1040, failing: afterCalm},
 		"fleet, killed each 15 s": {instances: 985, slack: 1040, failing: afterCalm, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
@@ -138,7 +204,7 @@
 			for seed := range uint64(seeds) {
 				// With the small ratio the limits are those of the slack.
 				for _, ratio := range []float64{0.2, 0.02} {
-					f := &sharedFleet{limits: SharedLimits{Window: 10 * time.Second, Ratio: ratio, Slack: tt.slack}, rng: rand.New(rand.NewPCG(seed, 1))}
+					f := &sharedFleet{limits: SharedLimits{Window: 10 * time.Second, Ratio: ratio, Slack: tt.slack}, rng: rand.New(rand.NewPCG(seed, 1)), dueAt: tt.dueAt, copies: tt.copies, failingCopies: tt.failingCopies}
 					for i := range tt.instances {
 						f.instances = append(f.instances, f.start(start.Add(-tt.idle), i))
 						f.instances[i].budgets.Observe(start.Add(min(0, 5*time.Second-tt.idle)))
@@ -165,6 +231,12 @@
 	return 1
 }
 
+// nextReturn returns when servers come back that repeats wait for.
+func nextReturn(now time.Time) time.Time {
+	const interval = 20 * time.Second
+	return start.Add((now.Sub(start)/interval + 1) * interval)
+}
+
 // killAll kills a share of the instances at an interval and starts them again.
 func (f *sharedFleet) killAll(now time.Time, at, interval time.Duration, share float64) {
 	if at == 0 || at%interval != 0 {
@@ -198,13 +270,17 @@
 }
 
 func TestSharedBudgets(t *testing.T) {
-	lost := Attempt{Number: 1, Cause: CauseLost}
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	for name, tt := range map[string]struct {
 		part SharedPart
-		// successes are sent and recorded at these seconds, charged repeats are those nobody asked for.
+		// successes are sent and recorded at these seconds.
 		successes []float64
-		charged   int
+		// drawn is the number of retries that are drawn at drawnAt, of which returned are given back; reserved is the
+		// number that is reserved before, and released of these are given up.
+		drawn, returned, reserved, released int
+		drawnAt                             float64
+		// keep is the number of retries to be left for others.
+		keep int
 		// lostAt and foundAt are when the instance loses its part and has one again, 0 for never.
 		lostAt, foundAt float64
 		// at is when the retries that are left are counted.
@@ -222,8 +298,18 @@
 		"more instances than slack, another": {part: SharedPart{Instances: 540, Rank: 54, Known: true}, at: 300, want: 0},
 		"cut off for long":                   {part: SharedPart{Instances: 1, Known: true}, lostAt: 200, at: 300, want: 0},
 		"cut off for long, then not":         {part: SharedPart{Instances: 1, Known: true}, lostAt: 200, foundAt: 295.25, at: 300, want: 13},
-		"charged":                            {part: SharedPart{Instances: 1, Known: true}, charged: 20, at: 300, want: 27},
-		"charged just now":                   {part: SharedPart{Instances: 1, Known: true}, charged: 20, at: 1.5, want: 0},
+		"drawn":                              {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, at: 300, want: 27},
+		"drawn just now":                     {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, at: 100, want: 7},
+		"all drawn":                          {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 27, at: 101, want: 2},
+		"drawn and given back":               {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, returned: 15, at: 100, want: 22},
+		"given back beyond the part":         {part: SharedPart{Instances: 1, Known: true}, drawnAt: 295, drawn: 20, returned: 20, at: 300, want: 27},
+		"given back after the part was lost": {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, returned: 20, lostAt: 150, at: 200, want: 0},
+		"some kept":                          {part: SharedPart{Instances: 7, Known: true}, keep: 1, at: 300, want: 2},
+		"one can't be kept of one":           {part: SharedPart{Instances: 100, Known: true}, keep: 1, at: 300, want: 1},
+		"reserved":                           {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, reserved: 20, at: 300, want: 7},
+		"reserved and drawn":                 {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, reserved: 20, drawn: 20, at: 100, want: 7},
+		"reserved and released":              {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, reserved: 20, released: 20, at: 100, want: 27},
+		"others' reservations are kept":      {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, reserved: 27, at: 100, want: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(1, 2))
@@ -233,29 +319,52 @@
 				return part
 			}})
 			b.Observe(start)
-			for range tt.charged {
-				b.Charge(at(1), "desk")
+			var draws []Draw
+			for s := range int(tt.at)*4 + 1 {
+				now := at(float64(s) / 4)
+				b.Observe(now)
+				if s == 4 {
+					b.Remaining(now, "desk")
+				}
+				if s > 0 && now.Equal(at(tt.drawnAt)) {
+					draws = drawRetries(t, b, now, tt.reserved, tt.released, tt.drawn)
+				}
 			}
-			b.Remaining(at(1), "desk")
-			for s := range int(tt.at) * 4 {
-				b.Observe(at(float64(s) / 4))
+			for _, d := range draws[:min(len(draws), tt.returned)] {
+				b.Return(at(tt.at), d)
 			}
 			for _, s := range tt.successes {
 				b.RecordSuccess(at(s), at(s), "desk")
 			}
 			retries := 0
 			for retries < 100 {
-				if _, ok := b.Decide(at(tt.at), "desk", lost).(Again); !ok {
+				if _, ok := b.Decide(at(tt.at), "desk", Attempt{Number: 1, Cause: CauseLost, Keep: tt.keep}).(Again); !ok {
 					break
 				}
 				retries++
 			}
 			require.Equal(t, tt.want, retries)
-			require.Less(t, b.Remaining(at(tt.at), "desk"), 1.0)
+			require.Less(t, b.Remaining(at(tt.at), "desk"), float64(1+tt.keep))
 		})
 	}
 }
 
+// drawRetries reserves some retries, releases some of these, and draws some.
+func drawRetries(t *testing.T, b *SharedBudgets, now time.Time, reserved, released, drawn int) (draws []Draw) {
+	for range reserved {
+		require.True(t, b.Reserve(now, "desk"))
+	}
+	for range released {
+		b.Release(now, "desk")
+	}
+	for n := range drawn {
+		d, ok := b.Draw(now, "desk", n < reserved-released)
+		require.True(t, ok)
+		draws = append(draws, d)
+	}
+	return draws
+}
+
 // seconds returns n times between two.
 func seconds(from, to float64, n int) (out []float64) {
 	for i := range n {
