Let a starting instance move streams before it knows all others

Callers saw streams cut whose engine left in the first seconds of their instance: since a request to a copy draws a retry before it is sent, an instance without any can't move streams. It had none until it knew the others (5 s) and its part of the slack had added one (2.6 s of seven instances, 8 s of eighty).

From its first word of another instance on it saves one retry at the rate of its part, for copies only, and no more until it knows the others. The limits hold as before, since that time is added to one incarnation only and no sooner: cases of TestSharedBudgetsHoldTogether lose copies while all are killed each 2.5, 4 and 15 s, also with 985 instances. TestStartingInstanceHasRetryForCopy fails without it.

--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -351,7 +351,7 @@
 	share := in.table.LimitShare(now)
 	return retry.SharedPart{
 		Instances: max(share.Instances, len(in.seeds())), Rank: in.table.ShareRank(service),
-		Known: in.sharesLimits.Load() && in.knowsOthers(now), Lost: !share.Held,
+		Known: in.sharesLimits.Load() && in.knowsOthers(now), Joined: in.gossip.Joined(), Lost: !share.Held,
 	}
 }
 
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -26,7 +26,8 @@
 //
 // What happens to instances, and the result:
 //
-//   - They start, are killed or frozen, at any times: within the limits.
+//   - They start, are killed or frozen, at any times: within the limits. An instance that has just started has only
+//     one retry until it knows the others, for a copy, and has it no sooner than its part of Slack adds it.
 //   - More come: within the limits, as they add slack only once they know the others, which have heard of them.
 //   - Some leave, end or are cut off: within the limits. Those that reach most of the others divide the parts of
 //     the rest among themselves, but only after the rest has given them up (see [membership.Table.LimitShare]).
@@ -68,6 +69,9 @@
 	Instances, Rank int
 	// Known is false while the instance doesn't know the others. It adds no slack then.
 	Known bool
+	// Joined is set once the instance has heard from another one. Until it knows them all it saves one retry, for
+	// requests that go on from a copy.
+	Joined bool
 	// Lost is set while the others may have divided this instance's part among themselves, as it is cut off from
 	// them. It loses the slack that it has saved.
 	Lost bool
@@ -100,18 +104,26 @@
 type sharedBudget struct {
 	slack    float64
 	filledAt time.Time
+	// early is how much slack was added before the others were known.
+	early float64
 	// reserved is the number of retries that were decided and aren't sent yet.
 	reserved int
 	// slots are those of the present window and one more.
 	slots [slotCount + 1]slot
 }
 
-// fill adds the slack of the time since the last call.
-func (b *sharedBudget) fill(now time.Time, l SharedLimits, p SharedPart) {
+// fill adds the slack of the time since the last call. While the others aren't known yet, it adds one retry at most.
+func (b *sharedBudget) fill(now time.Time, l SharedLimits, p SharedPart, starting bool) {
 	rate, limit := l.perWindow(p)
 	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
-		if p.Known {
-			b.slack += rate * elapsed.Seconds() / l.Window.Seconds()
+		added := rate * elapsed.Seconds() / l.Window.Seconds()
+		switch {
+		case p.Known:
+			b.slack += added
+		case starting && p.Joined:
+			added = min(added, 1-b.early)
+			b.early += added
+			b.slack += added
 		}
 		b.filledAt = now
 	}
@@ -228,6 +240,9 @@
 	budget := b.budget(now, service)
 	_, limit := b.opts.Limits.perWindow(b.opts.Part(now, service))
 	kept := min(float64(a.Keep), max(0, limit-1))
+	if !b.knows {
+		kept = budget.slack
+	}
 	if a.Cause == CauseOverload || a.Number >= attemptLimit(a.Cause) || b.remaining(now, budget) < 1+kept {
 		return GiveUp{}
 	}
@@ -283,7 +298,7 @@
 	}
 	if d.At.After(b.lostAt) {
 		budget.slack++
-		budget.fill(now, b.opts.Limits, b.opts.Part(now, d.Service))
+		budget.fill(now, b.opts.Limits, b.opts.Part(now, d.Service), !b.knows)
 	}
 }
 
@@ -336,7 +351,7 @@
 		b.byService[service] = budget
 	}
 	budget.dropSlack(b.lostAt)
-	budget.fill(now, b.opts.Limits, part)
+	budget.fill(now, b.opts.Limits, part, !b.knows)
 	return budget
 }
 
--- a/internal/retry/shared_test.go
+++ b/internal/retry/shared_test.go
@@ -185,7 +185,19 @@
 				}
 			}
 		}},
-		"copies fail":                {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1},
+		"copies fail": {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1},
+		"copies fail, killed all the time": {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
+			f.killAll(now, at, 2500*time.Millisecond, 1)
+		}},
+		"copies fail, killed each 4 s": {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
+			f.killAll(now, at, 4*time.Second, 1)
+		}},
+		"copies fail, killed each 15 s": {instances: 7, slack: 54, failing: afterCalm, copies: 0.9, failingCopies: 1, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
+			f.killAll(now, at, 15*time.Second, 1)
+		}},
+		"fleet, copies fail, killed each 15 s": {instances: 985, slack: 1040, failing: afterCalm, copies: 0.9, failingCopies: 1, disturb: func(f *sharedFleet, now time.Time, at time.Duration) {
+			f.killAll(now, at, 15*time.Second, 1)
+		}},
 		"copies fail, repeats too":   {instances: 7, slack: 54, failing: afterCalm, copies: 0.5, failingCopies: 0.3, dueAt: nextReturn},
 		"no slack, fail in turn":     {instances: 1, failing: func(at time.Duration) float64 { return float64(at / (10 * time.Second) % 2) }},
 		"fleet, calm, then all fail": {instances: 985, slack: 1040, failing: afterCalm},
@@ -304,6 +316,7 @@
 		"drawn and given back":               {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, returned: 15, at: 100, want: 22},
 		"given back beyond the part":         {part: SharedPart{Instances: 1, Known: true}, drawnAt: 295, drawn: 20, returned: 20, at: 300, want: 27},
 		"given back after the part was lost": {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, drawn: 20, returned: 20, lostAt: 150, at: 200, want: 0},
+		"joined, for other repeats":          {part: SharedPart{Instances: 7, Joined: true}, keep: 1, at: 300, want: 0},
 		"some kept":                          {part: SharedPart{Instances: 7, Known: true}, keep: 1, at: 300, want: 2},
 		"one can't be kept of one":           {part: SharedPart{Instances: 100, Known: true}, keep: 1, at: 300, want: 1},
 		"reserved":                           {part: SharedPart{Instances: 1, Known: true}, drawnAt: 100, reserved: 20, at: 300, want: 7},
@@ -373,6 +386,29 @@
 	return out
 }
 
+// Guards against streams that can't be moved for seconds after the start of their instance, and against instances
+// that have more than one retry before they know the others.
+func TestStartingInstanceHasRetryForCopy(t *testing.T) {
+	known := false
+	b := NewSharedBudgets(start, SharedOptions{Limits: sharedLimits, Rand: rand.New(rand.NewPCG(1, 2)), Part: func(time.Time, string) SharedPart {
+		return SharedPart{Instances: 7, Joined: true, Known: known}
+	}})
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	require.False(t, b.Reserve(at(0), "llm"))
+	require.False(t, b.Reserve(at(2), "llm"))
+	require.True(t, b.Reserve(at(3), "llm"))
+	draw, ok := b.Draw(at(3), "llm", true)
+	require.True(t, ok)
+	b.Return(at(4), draw)
+	_, ok = b.Draw(at(4), "llm", false)
+	require.True(t, ok)
+	require.False(t, b.Reserve(at(60), "llm"))
+	known = true
+	b.Observe(at(60))
+	require.False(t, b.Reserve(at(62), "llm"))
+	require.True(t, b.Reserve(at(63), "llm"))
+}
+
 // Guards against budgets that are kept for every service that was ever used.
 func TestSharedBudgetsForgetServices(t *testing.T) {
 	b := NewSharedBudgets(start, SharedOptions{Limits: sharedLimits, Rand: rand.New(rand.NewPCG(1, 2)), Part: func(time.Time, string) SharedPart { return SharedPart{Known: true} }})
