Test restarts whose copy is lost or goes on against the retry budget

Callers of a stream that breaks off get its rest from a copy, or by another request. A lost copy was followed by that request on the same retry, and a copy that goes on cost the retry of the restart. On the rows "lost, enough", "lost, for one" and "goes on, for one" fail; the three rows of TestRefusedCopyDrawsOnRetryBudget are kept.

--- a/internal/ingress/repeats_test.go
+++ b/internal/ingress/repeats_test.go
@@ -24,19 +24,29 @@
 	}
 }
 
+// loseRequest closes the connection of a request without an answer.
+func loseRequest(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
 // Each case guards against a restart that reaches a second server more often than the retry budget allows: its
-// copy is refused, and the request is sent once more without it.
-func TestRefusedCopyDrawsOnRetryBudget(t *testing.T) {
+// copy is refused or lost, and the request is sent once more without it; or against a copy that costs a retry
+// although its server goes on.
+func TestRestartDrawsOnRetryBudget(t *testing.T) {
 	for name, tt := range map[string]struct {
+		// copy fails requests that go on from a copy; nil if the server goes on.
+		copy  http.HandlerFunc
 		saved int
 		// arrivals is the number of requests for the rest, left what is left of the budget.
 		arrivals int
 		left     float64
 		complete bool
 	}{
-		"enough":  {saved: 3, arrivals: 2, left: 1, complete: true},
-		"for one": {saved: 1, arrivals: 1, left: 0},
-		"none":    {saved: 0, arrivals: 0, left: 0},
+		"refused, enough":  {copy: refuseRequest, saved: 3, arrivals: 2, left: 1, complete: true},
+		"refused, for one": {copy: refuseRequest, saved: 1, arrivals: 1, left: 0},
+		"refused, none":    {copy: refuseRequest, saved: 0, arrivals: 0, left: 0},
+		"lost, enough":     {copy: loseRequest, saved: 3, arrivals: 2, left: 1, complete: true},
+		"lost, for one":    {copy: loseRequest, saved: 1, arrivals: 1, left: 0},
+		"goes on, for one": {saved: 1, arrivals: 1, left: 1, complete: true},
+		"goes on, none":    {saved: 0, arrivals: 0, left: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			arrivals := 0
@@ -47,8 +57,8 @@
 					arrivals++
 					e.mu.Unlock()
 				}
-				if r.Header.Get("T-From") != "" {
-					refuseRequest(w, r)
+				if tt.copy != nil && r.Header.Get("T-From") != "" {
+					tt.copy(w, r)
 					return
 				}
 				e.ServeHTTP(w, r)
