Close the listener of a crashed stand-in before its connections

A crash reset connections first and closed the listener after that, over 0.1 s later on a starved machine. An engine that has reset a connection accepts no other one now; checks and bounds are unchanged.

--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -128,13 +128,14 @@
 	}
 }
 
-// Down resets the existing connections and refuses new ones for d, as a server that has crashed does.
+// Down refuses new connections for d and resets the existing ones, as a server that has crashed does: once a
+// connection is reset, no other one is accepted.
 func (p *Proxy) Down(d time.Duration) {
-	p.ResetOpenConnections()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	_ = p.listener.Close()
 	time.AfterFunc(d, p.listenAgain)
+	p.mu.Unlock()
+	p.ResetOpenConnections()
 }
 
 // listenAgain listens at the address of the proxy again, unless it is closed or listens.
