Bound what connections and heads hold before a request is admitted

What callers saw: a process that took several times its memory, and was killed with all of its requests, for clients with legal requests of many short header lines.

Cause: nothing counted what a connection and a head hold. It is kept with the connection, and the library's pool keeps it for others. The head was parsed anew with each part of it that came, and trailers had no limit. Callers' listeners had no limit on connections.

The class is all that is held for a connection before its request is admitted, at every listener. So all listeners of a process share one account: a connection is reserved when it is accepted, a head before it is parsed, by its bytes and lines, with all copies of it. Without room, connections that wait for their clients are closed, longest wait first; a complete request never is. Heads that cost far more than usual share half of the account, and callers leave a quarter to other instances, operators and readiness checks. Heads are handed to the library only once complete, so they are parsed once, and refused before with a response that says notRun. The library's request and that to a server aren't kept for others after a head of many lines.

The limits on heads and their time are those of the configuration; they were constants, so that a configuration that allows more made legal requests fail. checkFraming is gone: the reader refuses the same heads before they are parsed, besides fields without name or colon and lines that end without CR. The connections of callers that leave with CRLF after a body no longer get 400.

TestReadLooksAfterItsDeadline expected the beginning of a head to be handed out, which no longer happens; it now asks that the whole request is, once the rest has come after the deadline. Shutdown of the operators' listener now waits for accepted requests as that of callers does.

--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -36,7 +36,7 @@
 		// Handlers read the body themselves, so that they can reject one that is too large with
 		// the usual failure and without reading the rest.
 		server.WithStreamBody(true),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxHeaderBytes(2*maxHeaderBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(endMargin),
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -26,6 +26,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/callerconn"
 	"pollenspindle.example/pollenspindle/internal/config"
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/forward"
 	"pollenspindle.example/pollenspindle/internal/generation"
 	"pollenspindle.example/pollenspindle/internal/journal"
@@ -61,8 +62,6 @@
 	drainMargin = 500 * time.Millisecond
 	// endMargin is the time that handlers have at a shutdown to write their last event.
 	endMargin = 2 * time.Second
-	// closePollInterval is how often a shutdown checks for connections with requests.
-	closePollInterval = 10 * time.Millisecond
 )
 
 // ErrOptions means that the options of [NewServer] are invalid.
@@ -92,10 +91,12 @@
 type Options struct {
 	// Address is where callers reach this instance; empty means the listener's address. Listener
 	// comes from [Listen].
-	Address   string
-	Listener  net.Listener
-	Config    ConfigSource
-	Instances Instances
+	Address  string
+	Listener net.Listener
+	// Connections bounds what callers' connections and heads hold; nil for no limit.
+	Connections *connlimit.Account
+	Config      ConfigSource
+	Instances   Instances
 	// AwaitResume waits for the confirmation of the configuration after a pause of the process, for
 	// a limited time; nil if there is none.
 	AwaitResume func(ctx context.Context)
@@ -174,8 +175,9 @@
 		return nil, err
 	}
 	s.callers, err = callerconn.NewListener(opts.Listener, callerconn.Options{
-		ReadTimeout: readTimeout, WriteTimeout: opts.SlowCallerTimeout, MaxConnections: maxConnections,
-		Log: opts.Logger, Scope: opts.Scope.SubScope("callers"),
+		ReadTimeout: readTimeout, WriteTimeout: opts.SlowCallerTimeout, MaxConnections: maxConnections, Account: opts.Connections,
+		MaxHeadBytes: func() int { return maxHeaderBytes },
+		Log:          opts.Logger, Scope: opts.Scope.SubScope("callers"),
 	})
 	if err != nil {
 		return nil, merry.Wrap(ErrOptions, merry.WithCause(err))
@@ -252,7 +254,7 @@
 	waitFor(context.WithoutCancel(ctx), idle, endMargin)
 	endCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endMargin)
 	defer cancel()
-	s.closeIdle(endCtx)
+	s.callers.Shutdown(endCtx)
 	if err := s.hertz.Shutdown(endCtx); err != nil {
 		s.log.Debug().Err(err).Msg("listener closed late")
 	}
@@ -262,17 +264,6 @@
 	s.peers.Close()
 }
 
-// closeIdle refuses connections, and closes the open ones once each request that was accepted has been
-// answered, or when ctx ends.
-func (s *Server) closeIdle(ctx context.Context) {
-	s.callers.Drain()
-	s.callers.StopAccepting()
-	for s.callers.CloseIdle(time.Now()) > 0 && ctx.Err() == nil {
-		wait(ctx, closePollInterval)
-	}
-	_ = s.callers.Close()
-}
-
 // awaitResume waits after a pause of the process before a request is authenticated.
 func (s *Server) awaitResume(ctx context.Context) {
 	if s.opts.AwaitResume != nil {
--- a/internal/callerconn/close.go
+++ b/internal/callerconn/close.go
@@ -39,12 +39,14 @@
 		return nil
 	}
 	if !aborted && c.listener.beginLinger() {
+		c.lease.Wait()
 		c.linger()
 		defer c.listener.endLinger()
 	}
 	c.recordEnd.Do(func() { c.listener.recordEnd(c) })
 	err := c.Conn.Close()
 	c.listener.remove(c)
+	c.lease.Close()
 	return err
 }
 
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"pollenspindle.example/pollenspindle/internal/connlimit"
+	"pollenspindle.example/pollenspindle/internal/http1"
 	"pollenspindle.example/pollenspindle/internal/tcpclose"
 )
 
@@ -36,9 +38,18 @@
 	net.Conn
 	listener *Listener
 	socket   *tcpclose.Socket
+	lease    *connlimit.Lease
+	// requests is used by the library's reads only.
+	requests *http1.Reader
 
 	mu    sync.Mutex
 	state state
+	// complete is set while no byte of the present request is awaited.
+	complete bool
+	// unread is the number of bytes that were received and that the library hasn't read.
+	unread int
+	// headDeadline is until when the head has to be complete of which a part was read.
+	headDeadline time.Time
 	// awaitedUntil is until when more of a request is awaited: the first one of the connection, or one
 	// of which a part was read.
 	awaitedUntil time.Time
@@ -49,6 +60,8 @@
 	// ending is set once nothing more is read, ended once the connection was given up by the library, and aborted
 	// once the connection is cut.
 	ending, ended, aborted bool
+	// evicted is set if it was closed to make room for others, refused once a request wasn't accepted.
+	evicted, refused bool
 	// held is what the connection held as it began to end.
 	held contents
 	// idleClosed is set if it was closed as idle.
@@ -78,17 +91,59 @@
 		return nil, merry.Wrap(ErrListener, merry.WithCause(err))
 	}
 	c := &Conn{Conn: accepted, listener: l, socket: socket, awaitedUntil: l.opts.Now().Add(requestTimeout)}
+	c.requests = http1.NewReader(http1.Options{
+		MaxHeadBytes: l.opts.MaxHeadBytes, Reserve: c.reservePart, Admit: c.admit, Complete: c.completeRequest,
+	})
 	if l.opts.ReadTimeout > 0 {
 		err = c.SetReadDeadline(time.Now().Add(l.opts.ReadTimeout))
 	}
 	return c, err
 }
 
-// Read implements [net.Conn].
+// Read implements [net.Conn]. It reads no bytes of a head before the whole head is there.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if !c.beginRead() {
+		return 0, io.EOF
+	}
+	n, err := c.requests.Read(p, c.receive)
+	c.mu.Lock()
+	c.unread = c.requests.Buffered()
+	c.mu.Unlock()
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.hasNoRequest():
+		// The library would respond to the timeout, and the response be taken for that to a request on its way.
+		return 0, io.EOF
+	case isRefusal(err):
+		return 0, c.refuse(err)
+	}
+	return n, err
+}
+
+// beginRead reports whether the library may read on.
+func (c *Conn) beginRead() bool {
+	c.mu.Lock()
+	if c.ending {
+		c.mu.Unlock()
+		return false
+	}
+	awaitsNext := c.state == answered
+	if awaitsNext {
+		c.state, c.complete = idle, false
+	}
+	c.mu.Unlock()
+	if awaitsNext {
+		c.lease.Wait()
+	}
+	return true
+}
+
+// receive returns bytes that were read ahead, or waits for others.
+func (c *Conn) receive(p []byte) (int, error) {
 	c.mu.Lock()
 	if n := copy(p, c.ahead); n > 0 {
 		c.ahead = c.ahead[n:]
@@ -96,28 +151,20 @@
 		c.mu.Unlock()
 		return n, nil
 	}
-	c.ahead = nil
+	c.ahead, c.unread = nil, 0
 	if err := c.aheadErr; err != nil {
 		c.mu.Unlock()
 		return 0, err
 	}
-	if c.ending {
-		c.mu.Unlock()
-		return 0, io.EOF
-	}
-	if c.state == answered {
-		c.state = idle
-	}
-	if t := c.listener.opts.ReadTimeout; t > 0 && (c.state == handling || c.began) {
+	t := c.listener.opts.ReadTimeout
+	switch {
+	case c.began && !c.headDeadline.IsZero() && c.requests.AwaitsHead():
+		_ = c.Conn.SetReadDeadline(c.headDeadline)
+	case t > 0 && (c.state == handling || c.began):
 		_ = c.Conn.SetReadDeadline(time.Now().Add(t))
 	}
 	c.mu.Unlock()
-	n, err := c.read(p, func(int) { c.received() })
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasNoRequest() {
-		// The library would respond to the timeout, and the response be taken for that to a request on its way.
-		return 0, io.EOF
-	}
-	return n, err
+	return c.read(p, func(int) { c.received() })
 }
 
 // hasNoRequest reports whether nothing of a request was read.
@@ -132,10 +179,21 @@
 	if c.state == answered {
 		c.state = idle
 	}
+	if !c.began {
+		c.limitHead()
+	}
 	c.began = true
 	c.awaitedUntil = c.listener.opts.Now().Add(requestTimeout)
 }
 
+// limitHead limits the time for a head that begins; mu is held.
+func (c *Conn) limitHead() {
+	c.headDeadline = time.Time{}
+	if t := c.listener.opts.HeadTimeout(); t > 0 {
+		c.headDeadline = time.Now().Add(t)
+	}
+}
+
 // read waits for bytes, and calls received with their number in the step in which they are taken.
 func (c *Conn) read(p []byte, received func(n int)) (int, error) {
 	var n int
@@ -226,16 +284,20 @@
 	return true
 }
 
-// endRequest ends the handling of a request; buffered says that bytes of the next one were read.
-func (c *Conn) endRequest(buffered bool) {
+// endRequest ends the handling of a request; buffered says that the library has bytes of the next one. It returns false
+// if bytes of the body weren't read, which would be taken for the next request.
+func (c *Conn) endRequest(buffered bool) (complete bool) {
 	c.stopWatch()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	buffered = buffered || c.unread > 0
 	c.state, c.began, c.onGone = answered, buffered, nil
 	c.answeredAt, c.awaitedUntil = c.listener.opts.Now(), time.Time{}
 	if buffered {
 		c.awaitedUntil = c.listener.opts.Now().Add(requestTimeout)
+		c.limitHead()
 	}
+	return c.complete
 }
 
 // watch reads ahead until the caller leaves, the buffer is full or the request was handled.
@@ -306,7 +368,7 @@
 	if c.ending {
 		return false
 	}
-	return c.state != idle || !c.waiting || len(c.ahead) > 0 || now.Before(c.awaitedUntil) || c.hasUnread()
+	return c.state != idle || !c.waiting || c.unread+len(c.ahead) > 0 || now.Before(c.awaitedUntil) || c.hasUnread()
 }
 
 // hasUnread reports whether bytes wait in the socket.
--- a/internal/callerconn/ends.go
+++ b/internal/callerconn/ends.go
@@ -12,6 +12,8 @@
 	endedByInstance endedBy = "instance"
 	// endedAsIdle: this instance leaves and closed a connection without a request.
 	endedAsIdle endedBy = "idle"
+	// endedAsEvicted: this instance needed room for other connections.
+	endedAsEvicted endedBy = "evicted"
 	// endedByAbort: this instance cut what was in progress.
 	endedByAbort endedBy = "abort"
 )
@@ -45,6 +47,8 @@
 // end returns who ended the connection; mu is held.
 func (c *Conn) end() endedBy {
 	switch {
+	case c.evicted:
+		return endedAsEvicted
 	case c.aborted:
 		return endedByAbort
 	case c.idleClosed:
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -37,11 +37,16 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 )
 
 // ErrListener means that a listener isn't one of TCP sockets.
 var ErrListener = merry.Sentinel("listener doesn't accept TCP connections")
 
+// DefaultMaxHeadBytes is the default of [Options.MaxHeadBytes].
+const DefaultMaxHeadBytes = 64 << 10
+
 const (
 	// requestTimeout is how long a new connection, or one with a part of a request, isn't closed as
 	// idle without a further byte: its caller is about to send the rest.
@@ -55,6 +60,8 @@
 	// closeTimeout is how long a listener that is closed waits for callers to receive what was sent.
 	closeTimeout      = 100 * time.Millisecond
 	closePollInterval = 5 * time.Millisecond
+	// refusalLogInterval is the minimum time between two log lines of refused requests.
+	refusalLogInterval = 10 * time.Second
 )
 
 // Options configures a [Listener].
@@ -69,7 +76,15 @@
 	MaxConnections int
 	// RequestID is the header field with the ID of a request, for the log; empty for none.
 	RequestID string
-	Log       zerolog.Logger
+	// Account bounds what connections and heads hold; nil for no limit.
+	Account *connlimit.Account
+	// Class says whom the connections serve.
+	Class connlimit.Class
+	// MaxHeadBytes returns the maximum size of the header fields of a request; nil for the default.
+	MaxHeadBytes func() int
+	// HeadTimeout returns the time for a head, from its first byte; nil for ReadTimeout.
+	HeadTimeout func() time.Duration
+	Log         zerolog.Logger
 	// Scope is where the ends of connections are counted; nil for nowhere.
 	Scope tally.Scope
 	// Now returns the present time; nil for the clock of the machine.
@@ -86,6 +101,8 @@
 	stopping atomic.Bool
 	// accepting is set while the HTTP library may still accept connections.
 	accepting atomic.Bool
+	// refusals logs a few of the requests that are refused before they are read.
+	refusals zerolog.Logger
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -112,7 +129,19 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Listener{Listener: l, tcp: tcp, socket: socket, opts: opts, conns: map[*Conn]struct{}{}, ended: make(chan struct{})}, nil
+	if opts.Account == nil {
+		opts.Account = connlimit.New(connlimit.Options{})
+	}
+	if opts.MaxHeadBytes == nil {
+		opts.MaxHeadBytes = func() int { return DefaultMaxHeadBytes }
+	}
+	if opts.HeadTimeout == nil {
+		opts.HeadTimeout = func() time.Duration { return opts.ReadTimeout }
+	}
+	return &Listener{
+		Listener: l, tcp: tcp, socket: socket, opts: opts, conns: map[*Conn]struct{}{}, ended: make(chan struct{}),
+		refusals: opts.Log.Sample(&zerolog.BurstSampler{Burst: 1, Period: refusalLogInterval}),
+	}, nil
 }
 
 type connKey struct{}
@@ -146,7 +175,14 @@
 		return
 	}
 	defer func() {
-		conn.endRequest(c.GetReader().Len() > 0)
+		if !conn.endRequest(c.GetReader().Len() > 0) {
+			c.SetConnectionClose()
+		}
+		if conn.lease.IsLarge() {
+			// The library keeps the memory of a request for others.
+			c.SetConnectionClose()
+			c.Exile()
+		}
 		if l.draining.Load() && c.Response.GetHijackWriter() == nil {
 			c.SetConnectionClose()
 		}
@@ -259,16 +295,27 @@
 	if err != nil {
 		return nil, err
 	}
+	if conn.lease, err = l.opts.Account.Open(l.opts.Class, conn.evict); err != nil {
+		return nil, err
+	}
+	if err := l.register(conn); err != nil {
+		conn.lease.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (l *Listener) register(conn *Conn) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.isClosed():
-		return nil, net.ErrClosed
+		return net.ErrClosed
 	case l.opts.MaxConnections > 0 && len(l.conns)-l.lingering >= l.opts.MaxConnections:
-		return nil, errTooManyConnections
+		return errTooManyConnections
 	}
 	l.conns[conn] = struct{}{}
-	return conn, nil
+	return nil
 }
 
 // beginLinger reports whether one more connection may wait for its caller. endLinger must follow.
@@ -346,6 +393,22 @@
 	return len(l.open())
 }
 
+// Shutdown refuses connections, and closes the open ones once each request that was accepted has been answered, or
+// when ctx ends.
+func (l *Listener) Shutdown(ctx context.Context) {
+	l.Drain()
+	l.StopAccepting()
+	ticker := time.NewTicker(closePollInterval)
+	defer ticker.Stop()
+	for l.CloseIdle(time.Now()) > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	_ = l.Close()
+}
+
 // Close closes the listener and cuts the requests in progress. Callers of other connections that end still have
 // closeTimeout to receive their responses.
 func (l *Listener) Close() error {
--- a/internal/callerconn/starved_test.go
+++ b/internal/callerconn/starved_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -28,13 +29,15 @@
 
 // Guards against requests that have arrived in time and are timed out, since the process looks late.
 func TestReadLooksAfterItsDeadline(t *testing.T) {
+	whole := request("/a", "1")
 	tests := map[string]struct {
-		sent    string
-		wantErr error
+		// sent arrives before the deadline, rest once that has been read.
+		sent, rest, want string
+		wantErr          error
 	}{
-		"request has arrived": {request("/a", "1"), nil},
-		"part of it":          {"GET /a", nil},
-		"nothing":             {"", io.EOF},
+		"request has arrived": {whole, "", whole, nil},
+		"part of it":          {whole[:6], whole[6:], whole, nil},
+		"nothing":             {"", "", "", io.EOF},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -43,10 +46,19 @@
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return accepted.hasUnread() == (tt.sent != "") }, testTimeout, time.Millisecond)
 			require.NoError(t, accepted.SetReadDeadline(time.Unix(1, 0)))
+			sent := make(chan error, 1)
+			go func() {
+				for tt.rest != "" && accepted.hasUnread() {
+					runtime.Gosched()
+				}
+				_, err := io.WriteString(dialed, tt.rest)
+				sent <- err
+			}()
 			p := make([]byte, 4<<10)
-			n, err := accepted.Read(p)
+			n, err := io.ReadAtLeast(accepted, p, max(1, len(tt.want)))
 			require.ErrorIs(t, err, tt.wantErr)
-			require.Equal(t, tt.sent, string(p[:n]))
+			require.Equal(t, tt.want, string(p[:n]))
+			require.NoError(t, <-sent)
 		})
 	}
 }
--- a/internal/callerconn/write.go
+++ b/internal/callerconn/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -9,6 +10,9 @@
 
 // Write implements [net.Conn].
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.isClosedEarly() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.write(p)
 	if err != nil {
 		c.socket.Fail()
@@ -17,6 +21,13 @@
 	return n, err
 }
 
+// isClosedEarly reports whether nothing that the library may still write belongs to a request.
+func (c *Conn) isClosedEarly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted || c.refused
+}
+
 func (c *Conn) write(p []byte) (written int, err error) {
 	for {
 		if t := c.listener.opts.WriteTimeout; t > 0 {
--- a/internal/dialpeer/relay.go
+++ b/internal/dialpeer/relay.go
@@ -152,7 +152,9 @@
 	// An instance that leaves ends once it has no relays: one counts until its connections are closed.
 	defer p.remove(r)
 	defer r.close()
-	if tcp, ok := instance.(*net.TCPConn); ok {
+	if tcp, ok := instance.(interface {
+		SetKeepAliveConfig(cfg net.KeepAliveConfig) error
+	}); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
 	if _, err := io.WriteString(instance, switchingProtocols); err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -33,7 +33,9 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
+	"pollenspindle.example/pollenspindle/internal/httplisten"
 	"pollenspindle.example/pollenspindle/internal/instancerpc"
 	"pollenspindle.example/pollenspindle/internal/membership"
 	"pollenspindle.example/pollenspindle/internal/objectapi"
@@ -100,9 +102,11 @@
 	ServeBytesPerSecond int
 	// Handlers are further handlers for calls of instances, by path.
 	Handlers map[string]http.Handler
-	Log      zerolog.Logger
-	Scope    tally.Scope
-	Now      func() time.Time
+	// Connections bounds what the connections of other instances hold; nil for no limit.
+	Connections *connlimit.Account
+	Log         zerolog.Logger
+	Scope       tally.Scope
+	Now         func() time.Time
 }
 
 // Gossip exchanges records and platform state with other instances. Run and Serve are its
@@ -307,9 +311,12 @@
 	for path, handler := range g.opts.Handlers {
 		mux.Handle(path, handler)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes}
+	limited := httplisten.New(listener, httplisten.Options{Account: g.opts.Connections, Class: connlimit.Internal, MaxHeadBytes: instancerpc.MaxHeadBytes})
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes, ConnState: limited.ConnState,
+	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(limited) }()
 	select {
 	case err := <-served:
 		return merry.Prepend(err, "serve instances")
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -203,3 +203,14 @@
 	r.releaseConn(r.mustClose())
 	return nil
 }
+
+// maxPooledFields is the number of header fields up to which a request is kept for others.
+const maxPooledFields = 128
+
+// ReleaseRequest releases a request with a number of header fields. Those of large heads aren't kept: the codec would
+// hold their memory for as long.
+func ReleaseRequest(r *protocol.Request, fields int) {
+	if fields <= maxPooledFields {
+		protocol.ReleaseRequest(r)
+	}
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -42,8 +42,8 @@
 		return s.holdBody(c.Request.Body())
 	}
 	limit := maxBodyBytes
-	if table := s.opts.State.Table(); table != nil && table.Limits.MaxBodyBytes > 0 {
-		limit = min(limit, table.Limits.MaxBodyBytes)
+	if n := s.limits().MaxBodyBytes; n > 0 {
+		limit = min(limit, n)
 	}
 	b, err := s.readStream(stream, c.Request.Header.ContentLength(), limit)
 	if err == nil {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -92,9 +91,6 @@
 		id: string(c.GetHeader(s.fields.RequestID)), method: string(c.Method()),
 		uri: string(c.Request.Header.RequestURI()), host: string(c.Request.Header.Host()), start: now,
 	}
-	if err := checkFraming(c); err != nil {
-		return nil, err
-	}
 	if r.id == "" || !strings.HasPrefix(r.uri, "/") {
 		return nil, answer.Invalid(s.fields.RequestID, "is missing, or the path isn't absolute")
 	}
@@ -126,28 +122,6 @@
 	return r, nil
 }
 
-// checkFraming refuses requests with an ambiguous body length: what one side takes for the body,
-// another could take for a further request. It reads the raw header, because the codec keeps only
-// the fields that it uses.
-func checkFraming(c *app.RequestContext) error {
-	lengths, encodings, folded := 0, 0, false
-	for line := range bytes.Lines(c.Request.Header.RawHeaders()) {
-		folded = folded || line[0] == ' ' || line[0] == '\t'
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		switch strings.ToLower(string(bytes.TrimSpace(name))) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			encodings++
-		}
-	}
-	if folded || lengths+encodings > 1 {
-		c.SetConnectionClose()
-		return answer.Invalid("Content-Length", "the length of the body is ambiguous")
-	}
-	return nil
-}
-
 // notReady returns the failure of an instance without a configuration, or without a fresh one.
 //
 // Callers retry once or twice: with a short Retry-After during an outage, all of them would be
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -39,6 +39,7 @@
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/balancer"
 	"pollenspindle.example/pollenspindle/internal/callerconn"
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/handover"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
@@ -52,14 +53,19 @@
 	"pollenspindle.example/pollenspindle/internal/pushback"
 	"pollenspindle.example/pollenspindle/internal/retry"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
+	"pollenspindle.example/pollenspindle/internal/routes"
 	"pollenspindle.example/pollenspindle/internal/trialpeer"
 	"pollenspindle.example/pollenspindle/internal/upstream"
 )
 
 const (
-	maxHeaderBytes = 16 << 10
-	maxBodyBytes   = 8 << 20
-	// readTimeout limits reading one request.
+	// maxHeadBytes limits the header fields of a request unless the configuration does.
+	maxHeadBytes = 16 << 10
+	// maxLibraryHeadBytes is the limit of the HTTP library, above any that a configuration names.
+	maxLibraryHeadBytes = 8 << 20
+	maxBodyBytes        = 8 << 20
+	// readTimeout limits the wait for the first byte of a connection, and for further ones of a body, and is the
+	// time for a head unless the configuration allows more.
 	readTimeout = 10 * time.Second
 	// writeTimeout limits a write to a caller that doesn't read.
 	writeTimeout = 5 * time.Second
@@ -85,7 +91,9 @@
 	Callers   net.Listener
 	Ready     net.Listener
 	Directory net.Listener
-	Zone      string
+	// Connections bounds what callers' connections and heads hold; nil for no limit.
+	Connections *connlimit.Account
+	Zone        string
 	// Dial opens connections to backend servers; nil for plain TCP.
 	Dial httpclient.DialFunc
 	// LinksLost reports whether the instance's own links to all backend servers are lost; nil for never.
@@ -230,17 +238,19 @@
 	}
 	for _, listen := range []struct {
 		name  string
+		class connlimit.Class
 		on    **callerconn.Listener
 		tcp   net.Listener
 		log   zerolog.Logger
 		route func(h *server.Hertz)
 	}{
-		{"callers", &s.callers, opts.Callers, opts.Log, func(h *server.Hertz) { h.NoRoute(s.handle) }},
-		{"ready", &s.ready, opts.Ready, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
-		{"directory", &s.directory, opts.Directory, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
+		{"callers", connlimit.Callers, &s.callers, opts.Callers, opts.Log, func(h *server.Hertz) { h.NoRoute(s.handle) }},
+		{"ready", connlimit.Internal, &s.ready, opts.Ready, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Ready, s.serveReady) }},
+		{"directory", connlimit.Callers, &s.directory, opts.Directory, zerolog.Nop(), func(h *server.Hertz) { h.GET(opts.Dialect.Paths.Directory, s.serveDirectory) }},
 	} {
 		if *listen.on, err = callerconn.NewListener(listen.tcp, callerconn.Options{
 			ReadTimeout: readTimeout, WriteTimeout: writeTimeout, RequestID: s.fields.RequestID, Now: opts.Now,
+			Account: opts.Connections, Class: listen.class, MaxHeadBytes: s.maxHeadBytes, HeadTimeout: s.headTimeout,
 			Log: listen.log, Scope: opts.Scope.Tagged(map[string]string{"role": listen.name}),
 		}); err != nil {
 			return nil, err
@@ -261,7 +271,7 @@
 		server.WithUseRawPath(true),
 		server.WithUnescapePathValues(false),
 		server.WithDisablePreParseMultipartForm(true),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxHeaderBytes(maxLibraryHeadBytes),
 		server.WithMaxRequestBodySize(maxBodyBytes),
 		server.WithStreamBody(true),
 		server.WithReadTimeout(readTimeout),
@@ -274,6 +284,25 @@
 	return h
 }
 
+// limits returns the limits of the configuration for callers.
+func (s *Server) limits() routes.Limits {
+	if table := s.opts.State.Table(); table != nil {
+		return table.Limits
+	}
+	return routes.Limits{}
+}
+
+// maxHeadBytes returns the limit for the header fields of a request.
+func (s *Server) maxHeadBytes() int {
+	if n := s.limits().MaxHeadBytes; n > 0 {
+		return min(n, maxLibraryHeadBytes/2)
+	}
+	return maxHeadBytes
+}
+
+// headTimeout returns the time for the head of a request.
+func (s *Server) headTimeout() time.Duration { return max(readTimeout, s.limits().HeadTimeout) }
+
 // Run serves until Close.
 func (s *Server) Run(ctx context.Context) error {
 	if !s.beginServing() {
--- a/internal/ingressserve/build.go
+++ b/internal/ingressserve/build.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pollenspindle.example/pollenspindle/internal/balancer"
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/gossip"
@@ -50,6 +51,10 @@
 func (in *instance) build(ctx context.Context) error {
 	cfg, d := in.cfg, in.opts.Dialect
 	in.state = platformstate.NewState()
+	in.connections = connlimit.New(connlimit.Options{
+		Bytes: cfg.Connections.MaxBytes(in.memoryBytes()), Connections: cfg.Connections.MaxOpen(connlimit.Descriptors(cfg.FileDescriptors)),
+		Log: telemetry.ComponentLogger(in.tel.Log, "connections"), Scope: in.tel.Metrics.SubScope("connections"),
+	})
 	objects := objectapi.NewClient("http://"+cfg.PlatformAddress, objectapi.Options{
 		Codec: d.Objects, ReadsPerSecond: readsPerSecond, ReadBurst: readBurst, MaxAnswerBytes: maxAnswerBytes, OnCall: in.recordCall,
 	})
@@ -123,7 +128,7 @@
 		SuspectDigest: in.suspects.Digest, RecentSuspects: in.suspects.Recent, Limits: in.limits,
 		Table: in.table, State: in.state, Key: key,
 		Seeds: in.seeds(), ServeBytesPerSecond: int(cfg.LinkMegabits * bytesPerMegabit * servedLinkShare),
-		Status: in.status, Handlers: in.handlers(),
+		Status: in.status, Handlers: in.handlers(), Connections: in.connections,
 		ApplyConfiguration: func(now time.Time, value []byte, source string) {
 			in.follower.ApplyRawConfiguration(now, value, source)
 		},
@@ -295,11 +300,11 @@
 		listeners[i] = l
 	}
 	server, err := ingress.NewServer(ingress.Options{
-		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Zone: cfg.Zone, Dial: in.dialer.Dial, LinksLost: in.linksLost,
+		Callers: listeners[0], Ready: listeners[1], Directory: listeners[2], Connections: in.connections, Zone: cfg.Zone, Dial: in.dialer.Dial, LinksLost: in.linksLost,
 		State: in.state, Dialect: in.opts.Dialect, Balancer: lb,
 		Retries:   in.retries,
 		Instances: in.instances, DenyMaxAge: time.Duration(float64(propagationLimits(cfg).Configuration) * denyAgeShare), Addresses: in.callerAddresses, Planner: in.planner, Rollouts: in.rollouts, Outliers: in.outliers, Lengths: in.lengths, Origins: in.origins, Suspects: in.suspects, Trials: in.trials, Refresh: in.refreshSuspects, Limits: in.limits, Pauses: in.pauses, Brittle: in.brittle, Pace: in.pace, Handover: watch, LengthKey: in.queueLengthKey(),
-		MemoryBytes: int64(cfg.MemoryMegabytes) << 20, DetectSilence: cfg.DetectSilence,
+		MemoryBytes: in.memoryBytes(), DetectSilence: cfg.DetectSilence,
 		Grace: in.grace(),
 		Log:   telemetry.ComponentLogger(in.tel.Log, "caller"), Scope: in.tel.Metrics.SubScope("ingress"), Tracer: in.tel.Tracer, Now: in.now,
 	})
@@ -307,6 +312,14 @@
 	return err
 }
 
+// memoryBytes returns the memory that the process may use.
+func (in *instance) memoryBytes() int64 {
+	if mb := in.cfg.MemoryMegabytes; mb > 0 {
+		return int64(mb) << 20
+	}
+	return settings.DefaultMemoryMegabytes << 20
+}
+
 // instances returns the number of instances that share common limits.
 func (in *instance) instances() int { return in.table.Count(in.now()) }
 
--- a/internal/ingressserve/serve.go
+++ b/internal/ingressserve/serve.go
@@ -19,10 +19,12 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/dialect"
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/gossip"
 	"pollenspindle.example/pollenspindle/internal/httpclient"
+	"pollenspindle.example/pollenspindle/internal/httplisten"
 	"pollenspindle.example/pollenspindle/internal/ingress"
 	"pollenspindle.example/pollenspindle/internal/lengthpeer"
 	"pollenspindle.example/pollenspindle/internal/logqueue"
@@ -88,6 +90,10 @@
 	startupWait      = 300 * time.Millisecond
 	startupJitter    = 400 * time.Millisecond
 	firstStartupWait = time.Second
+	// maxMetricsHeadBytes limits the head of a request to the metrics address, metricsIdleTimeout the time for which
+	// such a connection may be unused.
+	maxMetricsHeadBytes = 16 << 10
+	metricsIdleTimeout  = 2 * time.Minute
 	// maxAddresses is the number of instances in a directory response.
 	maxAddresses = 64
 	// settingsPollInterval is how often the settings file is checked for changes.
@@ -136,9 +142,11 @@
 	pauses         *pushback.Pauses
 	brittle        *pushback.Brittle
 	links          *serverlink.Links
-	dialer         *serverdial.Dialer
-	dialPeer       *dialpeer.Peer
-	startedAt      time.Time
+	// connections is what the connections of all listeners hold.
+	connections *connlimit.Account
+	dialer      *serverdial.Dialer
+	dialPeer    *dialpeer.Peer
+	startedAt   time.Time
 	// out is where the log lines go.
 	out *logqueue.Queue
 	// endsBy is when the grace period ends; zero until the instance leaves.
@@ -361,10 +369,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", in.tel.Handler)
 	mux.HandleFunc("/rollouts", in.serveRollouts)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	limited := httplisten.New(l, httplisten.Options{Account: in.connections, Class: connlimit.Internal, MaxHeadBytes: maxMetricsHeadBytes})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxMetricsHeadBytes, IdleTimeout: metricsIdleTimeout, ConnState: limited.ConnState}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	_ = server.Serve(l)
+	_ = server.Serve(limited)
 }
 
 // serveRollouts shows the state of the rollouts to operators.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,9 +24,10 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/rs/zerolog"
 
+	"pollenspindle.example/pollenspindle/internal/callerconn"
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/operatorapi"
 	"pollenspindle.example/pollenspindle/internal/strictjson"
 	"pollenspindle.example/pollenspindle/pkg/pollenspindle"
@@ -122,6 +123,8 @@
 	Instance string
 	// Listener accepts operators' connections. The server closes it.
 	Listener net.Listener
+	// Connections bounds what operators' connections hold; nil for no limit.
+	Connections *connlimit.Account
 	// TokenSHA256 is the lower-case hex SHA-256 of the operators' token, AcceptedSHA256 those of
 	// further valid tokens during a token rotation.
 	TokenSHA256    string
@@ -144,6 +147,8 @@
 	opts   Options
 	tokens [][sha256.Size]byte
 	http   *server.Hertz
+	// operators has the connections.
+	operators *callerconn.Listener
 }
 
 // New returns a server. It accepts no connections before [Server.Run].
@@ -154,19 +159,25 @@
 	}
 	s := &Server{opts: opts, tokens: tokens}
 	s.opts.Log = opts.Log.With().Str("part", "operator").Logger()
-	s.http = server.New(
-		server.WithListener(opts.Listener),
-		server.WithTransport(standard.NewTransporter),
+	s.operators, err = callerconn.NewListener(opts.Listener, callerconn.Options{
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, Account: opts.Connections, Class: connlimit.Internal,
+		MaxHeadBytes: func() int { return maxHeaderBytes }, Log: s.opts.Log,
+	})
+	if err != nil {
+		return nil, merry.Prepend(err, "operators' listener")
+	}
+	s.http = server.New(append(s.operators.ServerOptions(),
 		server.WithReadTimeout(readTimeout),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(exitWait),
 		server.WithMaxRequestBodySize(maxBodyBytes),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxHeaderBytes(2*maxHeaderBytes),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithUseRawPath(true),
 		server.WithDisablePrintRoute(true),
-	)
+	)...)
+	s.http.Use(s.operators.Handle)
 	s.routes()
 	return s, nil
 }
@@ -181,6 +192,7 @@
 
 // Shutdown stops accepting connections and waits for running calls.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.operators.Shutdown(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		return merry.Prepend(err, "shut down operators' listener")
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/uber-go/tally/v4"
 
+	"pollenspindle.example/pollenspindle/internal/connlimit"
+	"pollenspindle.example/pollenspindle/internal/httplisten"
 	"pollenspindle.example/pollenspindle/internal/peer/peerv1/peerv1connect"
 )
 
@@ -24,6 +26,8 @@
 	mux     *http.ServeMux
 	options connect.HandlerOption
 	scope   tally.Scope
+	// connections is nil for no limit.
+	connections *connlimit.Account
 }
 
 // NewServer returns a server that passes authenticated calls to handler. The further options, such
@@ -51,6 +55,9 @@
 	}
 }
 
+// LimitConnections bounds what the connections of peers hold. It is called before [Server.Serve].
+func (s *Server) LimitConnections(account *connlimit.Account) { s.connections = account }
+
 // Handle serves a path by a handler that authenticates its callers itself. Unlike the calls of the
 // service, requests may use HTTP/1.1, whose connections can be upgraded.
 func (s *Server) Handle(path string, handler http.Handler) { s.mux.Handle(path, handler) }
@@ -73,7 +80,11 @@
 // Serve serves calls on listener until ctx ends, then waits for those in progress.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(countingListener{listener, newByteCounter(s.scope)}) }()
+	limited := httplisten.New(countingListener{listener, newByteCounter(s.scope)}, httplisten.Options{
+		Account: s.connections, Class: connlimit.Internal, MaxHeadBytes: maxHeadBytes, HTTP2: true,
+	})
+	s.http.ConnState = limited.ConnState
+	go func() { served <- s.http.Serve(limited) }()
 	select {
 	case err := <-served:
 		return merry.Prepend(err, "serve peers")
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -104,8 +104,10 @@
 
 // Limits are the limits for requests of callers. Zero means that none is declared.
 type Limits struct {
-	MaxBodyBytes int
-	IdleTimeout  time.Duration
+	// MaxHeadBytes limits the header fields of a request, MaxBodyBytes its body.
+	MaxHeadBytes, MaxBodyBytes int
+	// HeadTimeout is how long a caller may take for a head, IdleTimeout how long a connection may be unused.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // Configuration is one version of what operators declare.
--- a/internal/serve/components.go
+++ b/internal/serve/components.go
@@ -12,6 +12,7 @@
 	"pollenspindle.example/pollenspindle/internal/caller"
 	"pollenspindle.example/pollenspindle/internal/claim"
 	"pollenspindle.example/pollenspindle/internal/config"
+	"pollenspindle.example/pollenspindle/internal/connlimit"
 	"pollenspindle.example/pollenspindle/internal/controlcost"
 	"pollenspindle.example/pollenspindle/internal/dialpeer"
 	"pollenspindle.example/pollenspindle/internal/engine"
@@ -60,7 +61,9 @@
 	models     models
 	journal    *journal.Journal
 	peerServer *peer.Server
-	self       roster.Instance
+	// connections is what the connections of all listeners hold.
+	connections *connlimit.Account
+	self        roster.Instance
 
 	leaveOnce sync.Once
 	// leaving is closed when an operator requests the shutdown of the instance.
@@ -73,6 +76,10 @@
 		ID: s.Instance, Incarnation: uuid.NewString(), Region: s.Region, Zone: s.Zone,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 	}
+	p.connections = connlimit.New(connlimit.Options{
+		Bytes: s.Connections.MaxBytes(memoryBytes(s)), Connections: s.Connections.MaxOpen(connlimit.Descriptors(0)),
+		Log: telemetry.ComponentLogger(tel.Log, "connections"), Scope: tel.Metrics.SubScope("connections"),
+	})
 	p.objects = objectapi.NewClient(s.PlatformURL, objectapi.Options{OnCall: p.countCall})
 	p.store = config.NewStore(config.StoreOptions{Objects: p.objects, Log: telemetry.ComponentLogger(tel.Log, "config")})
 	p.claims = claim.NewStore(p.claimOptions())
@@ -146,6 +153,7 @@
 		Log: telemetry.ComponentLogger(p.tel.Log, "dial"), Scope: p.tel.Metrics.SubScope("dial"), Now: time.Now,
 	})
 	p.dialer.SetPeers(p.dialPeer)
+	p.peerServer.LimitConnections(p.connections)
 	p.peerServer.Handle(dialpeer.Path, p.dialPeer)
 	return p.newFleet(pool)
 }
@@ -220,6 +228,7 @@
 	return caller.Options{
 		Address:                p.settings.CallerAddress,
 		Listener:               listener,
+		Connections:            p.connections,
 		Config:                 guardedConfig{p.store, p.members},
 		Instances:              callers{p.members},
 		AwaitResume:            p.members.AwaitResume,
@@ -243,6 +252,7 @@
 	return operator.Options{
 		Instance:       p.settings.Instance,
 		Listener:       listener,
+		Connections:    p.connections,
 		TokenSHA256:    p.settings.OperatorTokenSHA256,
 		AcceptedSHA256: p.settings.Accepted.OperatorTokensSHA256,
 		Config:         &accepted.Config{Objects: p.objects, Store: p.store, Fleet: configVersions{p.members}},
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -63,7 +63,7 @@
 		return merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	telemetry.CaptureLibraries(tel.Log)
-	setGCPercent()
+	limitMemory(s)
 	p, err := newComponents(s, tel, direct)
 	if err != nil {
 		return merry.Wrap(ErrStart, merry.WithCause(err))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	defer protocol.ReleaseRequest(r)
+	defer httpclient.ReleaseRequest(r, len(req.Header))
 	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: req.FreshConnection})
 	if err != nil {
 		return Response{}, classifyError(err)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -60,6 +60,8 @@
 	c.accepted(s)
 	c.oneOf("log.level", s.Log.Level, logLevels)
 	c.oneOf("policy", string(s.Policy), policies)
+	checkMemory(c, s.MemoryMegabytes)
+	checkConnections(c, s.Connections)
 	c.trace(s.Trace)
 	c.timing(s.Timing)
 }
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -29,6 +29,11 @@
 	PeerKey string `json:"peerKey"`
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int `json:"memoryMegabytes"`
+	// FileDescriptors is the number of descriptors that the process may open, if the system doesn't tell; 0 means what
+	// the system allows.
+	FileDescriptors int `json:"fileDescriptors"`
+	// Connections limits what the connections of clients hold.
+	Connections Connections `json:"connections"`
 	// LinkMegabits is the bandwidth of the instance's link in megabits per second; 0 if unknown.
 	LinkMegabits float64 `json:"linkMegabits"`
 	// FirstStart means that all instances start for the first time, before there are callers.
@@ -130,9 +135,8 @@
 		c.checkAddresses([]address{{"platformAddress", s.PlatformAddress}}, false)
 	}
 	c.key("peerKey", s.PeerKey)
-	if s.MemoryMegabytes != 0 && s.MemoryMegabytes < minMemoryMegabytes {
-		c.add("memoryMegabytes", "must be at least %d", minMemoryMegabytes)
-	}
+	checkConnections(c, s.Connections)
+	checkMemory(c, s.MemoryMegabytes)
 	for _, f := range []struct {
 		path  string
 		value float64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,10 @@
 	Log      Log      `json:"log"`
 	Trace    Trace    `json:"trace"`
 	Timing   Timing   `json:"timing"`
+	// MemoryMegabytes is the memory that the process may use; 0 means [DefaultMemoryMegabytes].
+	MemoryMegabytes int `json:"memoryMegabytes,omitempty"`
+	// Connections limits what the connections of clients hold.
+	Connections Connections `json:"connections,omitzero"`
 	// Policy is the policy of admission and placement; empty means predicted.
 	Policy Policy `json:"policy"`
 	// Seed seeds random choices; 0 takes one from the system.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -130,7 +130,7 @@
 // caller; every other response is read completely, or as far as there is memory for its body.
 func (c *Client) Do(ctx context.Context, address string, req Request, stream bool) (*Response, error) {
 	r := encode(address, req)
-	defer protocol.ReleaseRequest(r)
+	defer httpclient.ReleaseRequest(r, len(req.Header))
 	resp, err := c.http.Do(ctx, address, r, httpclient.Call{SingleUse: true, Stream: stream, MaxBuffered: ShortBody, BeforeSend: req.BeforeSend})
 	if err != nil {
 		return nil, err
