Test callers that send an empty line after a body

What callers saw: 400 for the request that follows a body of the stated length with CRLF after it (RFC 9112, 2.2).

--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -152,3 +152,16 @@
 	}
 	require.Empty(t, f.handled)
 }
+
+// Guards against callers that end a body with an empty line, whose next request was refused.
+func TestEmptyLineAfterBody(t *testing.T) {
+	f := start(t, Options{})
+	c := f.dial()
+	for _, separator := range []string{"\r\n", "", "\r\n\r\n"} {
+		c.send(request("/a", "x") + separator)
+		f.release <- struct{}{}
+		body, closes := c.receive()
+		require.Equal(t, "/ax", body)
+		require.False(t, closes)
+	}
+}
