Refuse calls of strangers before their bodies are read

What was seen: the address for other instances reads up to 8 MB of a call before it looks at its token, so clients without the key can make an instance hold as many bodies as it has connections.

Cause: calls were authenticated by interceptors and handlers that run on the decoded message. The token is in the head and covers the path, so it is now checked before the body is read, for both interfaces; the connection ends. Requests without a body are left to their handlers, as before.

TestBodyWithoutTokenIsNotRead announces a body and sends none: it waited for its 10 s without the check, and gets 401 with it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -313,7 +313,7 @@
 	}
 	limited := httplisten.New(listener, httplisten.Options{Account: g.opts.Connections, Class: connlimit.Internal, MaxHeadBytes: instancerpc.MaxHeadBytes})
 	server := &http.Server{
-		Handler: mux, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes, ConnState: limited.ConnState,
+		Handler: peer.RequireToken(g.opts.Key, g.opts.Now, mux), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: instancerpc.MaxHeadBytes, ConnState: limited.ConnState,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -119,6 +120,21 @@
 	}
 }
 
+// RequireToken refuses calls without a valid token before their bodies are read. Requests without a body are left to
+// their handlers.
+func RequireToken(key Key, now func() time.Time, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			if _, err := key.Check(now(), r.Header.Get(authHeader), r.URL.Path); err != nil {
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // sign returns an interceptor that adds a token to calls of sender.
 func sign(key Key, sender string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,9 +1,11 @@
 package peer_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -194,3 +196,19 @@
 		}
 	}
 }
+
+// Guards against strangers whose bodies are read.
+func TestBodyWithoutTokenIsNotRead(t *testing.T) {
+	address := serve(t, newKey(t, encodedKey))
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, "POST /peer.v1.PeerService/Heartbeat HTTP/1.1\r\nHost: a\r\nContent-Type: application/proto\r\nContent-Length: 1000\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	require.True(t, resp.Close)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,7 +45,7 @@
 		options: options,
 		scope:   scope,
 		http: &http.Server{
-			Handler:           withoutDate(mux),
+			Handler:           withoutDate(RequireToken(key, time.Now, mux)),
 			Protocols:         serverProtocols(),
 			HTTP2:             serverHTTP2Config(),
 			ReadHeaderTimeout: readHeaderTimeout,
