Count cookies and fields of queries as parts of a head

What was seen: 400 heads with one Cookie field of 7,300 cookies took 117 MB of 64, and 400 queries of half the limit at the directory 74 MB, with the account of connections in place.

Cause: the account counted header fields, but the HTTP library also holds cookies and fields of a query apart, each with a slice and two allocations, and keeps them with the connection. So the parts of a head are what a codec holds apart: lines, and what & and ; separate in them.

--- a/internal/callerconn/limits.go
+++ b/internal/callerconn/limits.go
@@ -24,7 +24,7 @@
 
 // admit reserves the memory of a complete head.
 func (c *Conn) admit(h *http1.Head) error {
-	return c.lease.Reserve(connlimit.HeadCost(h.Bytes, h.Lines))
+	return c.lease.Reserve(connlimit.HeadCost(h.Bytes, h.Parts))
 }
 
 // completeRequest records that no more of the request is awaited.
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -11,7 +11,7 @@
 //	account := connlimit.New(connlimit.Options{Bytes: 16 << 20, Connections: 1000})
 //	lease, err := account.Open(connlimit.Callers, conn.evict)
 //	defer lease.Close()
-//	err = lease.Reserve(connlimit.HeadCost(head.Bytes, head.Lines))
+//	err = lease.Reserve(connlimit.HeadCost(head.Bytes, head.Parts))
 //	lease.Work() // the request is complete
 //	...
 //	lease.Wait() // the next one is awaited
@@ -33,10 +33,10 @@
 const (
 	// connectionBytes is the memory of a connection and of a request with a usual head.
 	connectionBytes = 40 << 10
-	// headByteCost and lineCost are the memory that a byte and a line of a head take in all copies of it, of which
+	// headByteCost and partCost are the memory that a byte and a part of a head take in all copies of it, of which
 	// freeBytes belong to the connection.
 	headByteCost = 8
-	lineCost     = 320
+	partCost     = 320
 	freeBytes    = 16 << 10
 	// usualBytes is the memory of a head from which on it counts as large.
 	usualBytes = 64 << 10
@@ -135,8 +135,8 @@
 	return l, nil
 }
 
-// HeadCost returns the memory that a head of a number of bytes and lines takes, with all copies of it.
-func HeadCost(bytes, lines int) int64 { return int64(bytes)*headByteCost + int64(lines)*lineCost }
+// HeadCost returns the memory that a head of a number of bytes and parts takes, with all copies of it.
+func HeadCost(bytes, parts int) int64 { return int64(bytes)*headByteCost + int64(parts)*partCost }
 
 // Reserve reserves the memory of a head. The lease keeps that of the head that costs most until [Lease.Shrink] or its
 // end.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,5 +1,5 @@
 // Package http1 follows the framing of HTTP/1.1 requests on a connection, before a codec parses them. It tells the
-// size and the number of lines of a head while its bytes arrive, so that a server knows what a request costs before
+// size and the number of parts of a head while its bytes arrive, so that a server knows what a request costs before
 // it holds it, and refuses heads whose end or whose body different parsers could see in different places.
 //
 // A [Reader] hands out a head only once it is complete and admitted. Of chunked bodies it drops chunk extensions and
@@ -33,8 +33,9 @@
 
 // Head is the head of a request of which bytes arrive.
 type Head struct {
-	// Bytes is the size of what was scanned, Lines the number of its header fields.
-	Bytes, Lines int
+	// Bytes is the size of what was scanned. Parts is the number of what a codec may hold apart: header fields, and
+	// the parts of a line that are separated as in queries and cookies.
+	Bytes, Parts int
 	// Chunked says that the body is sent in chunks. Otherwise Length is its size.
 	Chunked bool
 	Length  int64
@@ -84,6 +85,7 @@
 
 // addLine adds a line without its end.
 func (h *Head) addLine(line []byte) error {
+	h.Parts += bytes.Count(line, querySeparator) + bytes.Count(line, cookieSeparator)
 	switch {
 	case h.fieldsStart == 0:
 		h.fieldsStart = h.Bytes
@@ -92,10 +94,15 @@
 		h.complete = true
 		return h.checkFraming()
 	}
-	h.Lines++
+	h.Parts++
 	return h.addField(line)
 }
 
+var (
+	querySeparator  = []byte{'&'}
+	cookieSeparator = []byte{';'}
+)
+
 func (h *Head) addRequestLine(line []byte) error {
 	method, rest, _ := bytes.Cut(line, []byte{' '})
 	target, version, ok := bytes.Cut(rest, []byte{' '})
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -18,9 +18,11 @@
 		err  error
 	}{
 		"no fields":           {text: begin + "\r\n", want: Head{}},
-		"length":              {text: begin + "Content-Length: 12\r\n\r\n", want: Head{Lines: 1, Length: 12}},
-		"chunks":              {text: begin + "transfer-encoding:  Chunked \r\n\r\n", want: Head{Lines: 1, Chunked: true}},
-		"shortest lines":      {text: begin + "a:\r\na:\r\na:\r\n\r\n", want: Head{Lines: 3}},
+		"length":              {text: begin + "Content-Length: 12\r\n\r\n", want: Head{Parts: 1, Length: 12}},
+		"chunks":              {text: begin + "transfer-encoding:  Chunked \r\n\r\n", want: Head{Parts: 1, Chunked: true}},
+		"shortest lines":      {text: begin + "a:\r\na:\r\na:\r\n\r\n", want: Head{Parts: 3}},
+		"query":               {text: "GET /?a&b&c HTTP/1.1\r\n\r\n", want: Head{Parts: 2}},
+		"cookies":             {text: begin + "Cookie: a;b;c\r\n\r\n", want: Head{Parts: 3}},
 		"HTTP/1.0":            {text: "GET / HTTP/1.0\r\n\r\n", want: Head{}},
 		"HTTP/2":              {text: "PRI * HTTP/2.0\r\n\r\n", want: Head{HTTP2: true}},
 		"without name":        {text: begin + ":\r\n\r\n", err: ErrMalformed},
@@ -42,7 +44,7 @@
 		"long request line":   {text: "GET /" + strings.Repeat("a", testLimit), err: ErrTooLarge},
 		"long line":           {text: begin + "a: " + strings.Repeat("a", testLimit), err: ErrTooLarge},
 		"many lines":          {text: begin + strings.Repeat("a:\r\n", testLimit/4+1), err: ErrTooLarge},
-		"fields at the limit": {text: begin + strings.Repeat("a:\r\n", testLimit/4-1) + "\r\n", want: Head{Lines: testLimit/4 - 1}},
+		"fields at the limit": {text: begin + strings.Repeat("a:\r\n", testLimit/4-1) + "\r\n", want: Head{Parts: testLimit/4 - 1}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -56,7 +58,7 @@
 				require.ErrorIs(t, err, tt.err)
 				require.Equal(t, tt.err == nil, complete)
 				if complete {
-					got := Head{Lines: h.Lines, Chunked: h.Chunked, Length: h.Length, HTTP2: h.HTTP2}
+					got := Head{Parts: h.Parts, Chunked: h.Chunked, Length: h.Length, HTTP2: h.HTTP2}
 					require.Equal(t, tt.want, got)
 					require.Equal(t, len(tt.text), h.Bytes)
 				}
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -95,12 +95,12 @@
 func TestReaderAdmits(t *testing.T) {
 	full := errors.New("full")
 	head := "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 100) + "\r\n"
-	lines := 0
-	r := NewReader(Options{MaxHeadBytes: limit, Admit: func(h *Head) error { lines = h.Lines; return full }})
+	parts := 0
+	r := NewReader(Options{MaxHeadBytes: limit, Admit: func(h *Head) error { parts = h.Parts; return full }})
 	got, err := readAll(r, &source{head, 10}, 4096)
 	require.ErrorIs(t, err, full)
 	require.Empty(t, got)
-	require.Equal(t, 100, lines)
+	require.Equal(t, 100, parts)
 
 	held := 0
 	r = NewReader(Options{MaxHeadBytes: limit, Reserve: func(n int) error {
--- a/internal/httplisten/httplisten.go
+++ b/internal/httplisten/httplisten.go
@@ -63,7 +63,7 @@
 		conn.requests = http1.NewReader(http1.Options{
 			MaxHeadBytes: func() int { return l.opts.MaxHeadBytes }, HTTP2: l.opts.HTTP2,
 			Reserve:  func(n int) error { return conn.lease.Reserve(int64(n) * partCost) },
-			Admit:    func(h *http1.Head) error { return conn.lease.Reserve(connlimit.HeadCost(h.Bytes, h.Lines)) },
+			Admit:    func(h *http1.Head) error { return conn.lease.Reserve(connlimit.HeadCost(h.Bytes, h.Parts)) },
 			Complete: conn.completeRequest,
 		})
 		return conn, nil
