Refuse chunks in requests of HTTP/1.0

FuzzFraming found, within a second, a head of HTTP/1.0 with Transfer-Encoding that the reader takes for one with chunks and net/http for one without a body: what one side takes for the body, another could take for a further request (RFC 9112, 6.1). Such a request is refused as ambiguous.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -48,6 +48,8 @@
 	fieldsStart int
 	hasLength   bool
 	complete    bool
+	// old says that the version is HTTP/1.0, which has no chunks.
+	old bool
 }
 
 // Scan looks at those bytes of the head that it hasn't seen, and reports whether the head is complete. buf begins with
@@ -111,7 +113,9 @@
 		return malformed("request line")
 	case string(version) == "HTTP/2.0" && string(method) == "PRI":
 		h.HTTP2 = true
-	case string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0":
+	case string(version) == "HTTP/1.0":
+		h.old = true
+	case string(version) != "HTTP/1.1":
 		return malformed("version")
 	}
 	return nil
@@ -157,7 +161,7 @@
 }
 
 func (h *Head) checkFraming() error {
-	if h.hasLength && h.Chunked {
+	if h.Chunked && (h.hasLength || h.old) {
 		return merry.Wrap(ErrAmbiguous)
 	}
 	return nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -35,6 +35,7 @@
 		"LF alone":            {text: begin + "a: b\n\r\n", err: ErrMalformed},
 		"two lengths":         {text: begin + "Content-Length: 1\r\nContent-Length: 1\r\n\r\n", err: ErrAmbiguous},
 		"length and chunks":   {text: begin + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", err: ErrAmbiguous},
+		"chunks of HTTP/1.0":  {text: "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", err: ErrAmbiguous},
 		"signed length":       {text: begin + "Content-Length: +1\r\n\r\n", err: ErrAmbiguous},
 		"list of lengths":     {text: begin + "Content-Length: 1, 1\r\n\r\n", err: ErrAmbiguous},
 		"endless length":      {text: begin + "Content-Length: 1000000000000000\r\n\r\n", err: ErrAmbiguous},
