Return the memory of a head before its connection lingers

What callers saw: 503 for a single request of the most lines in calm, if four others had got their responses and kept their connections open: such a connection ends after its response and waits up to 5 s for its caller, and the room of its head was returned only then. The library has let go of the request by that time, so it is returned first.

TestMostLinesAreServed sends ten such requests in turn beside 200 connections without a request: the fifth got 503 or a later one before, all get 200 now. TestRefusedRequestsAreNotRun finds no refused request at a server; it passed before, too.

--- a/internal/callerconn/close.go
+++ b/internal/callerconn/close.go
@@ -38,6 +38,7 @@
 	if ended {
 		return nil
 	}
+	c.lease.Shrink()
 	if !aborted && c.listener.beginLinger() {
 		c.lease.Wait()
 		c.linger()
