Keep connections idle after an empty line

Empty lines between requests are dropped as they come, and the connection is idle again. TestEmptyLineAfterBody now keeps such connections for longer than a head may take; it failed before ("EOF" at the second).

The memory of a head that isn't complete is told by connlimit for both of its users.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -158,6 +158,10 @@
 	}
 	t := c.listener.opts.ReadTimeout
 	switch {
+	case c.began && c.state == idle && c.requests.IsBetweenRequests():
+		// Only empty lines came.
+		c.began, c.awaitedUntil = false, time.Time{}
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	case c.began && !c.headDeadline.IsZero() && c.requests.AwaitsHead():
 		_ = c.Conn.SetReadDeadline(c.headDeadline)
 	case t > 0 && (c.state == handling || c.began):
--- a/internal/callerconn/limits.go
+++ b/internal/callerconn/limits.go
@@ -13,14 +13,11 @@
 	"pollenspindle.example/pollenspindle/internal/http1"
 )
 
-// partCost is the memory of a byte of a head that isn't complete, in a buffer that grows by doubling.
-const partCost = 2
-
 // fullRetryAfter is the Retry-After of an instance without room for a head.
 const fullRetryAfter = time.Second
 
 // reservePart reserves the memory of the first n bytes of a head.
-func (c *Conn) reservePart(n int) error { return c.lease.Reserve(int64(n) * partCost) }
+func (c *Conn) reservePart(n int) error { return c.lease.Reserve(connlimit.PartialHeadCost(n)) }
 
 // admit reserves the memory of a complete head.
 func (c *Conn) admit(h *http1.Head) error {
--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -155,13 +156,20 @@
 
 // Guards against callers that end a body with an empty line, whose next request was refused.
 func TestEmptyLineAfterBody(t *testing.T) {
-	f := start(t, Options{})
+	const readTimeout = 100 * time.Millisecond
+	f := start(t, Options{ReadTimeout: readTimeout})
 	c := f.dial()
-	for _, separator := range []string{"\r\n", "", "\r\n\r\n"} {
-		c.send(request("/a", "x") + separator)
+	for _, lines := range []struct{ with, after string }{{}, {with: "\r\n"}, {after: "\r\n"}, {with: "\r\n", after: "\r\n\r\n"}} {
+		c.send(request("/a", "x") + lines.with)
 		f.release <- struct{}{}
 		body, closes := c.receive()
 		require.Equal(t, "/ax", body)
 		require.False(t, closes)
+		c.send(lines.after)
+		// The connection is idle for longer than a request may take.
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*readTimeout)))
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(testTimeout)))
 	}
 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -138,6 +138,9 @@
 // HeadCost returns the memory that a head of a number of bytes and parts takes, with all copies of it.
 func HeadCost(bytes, parts int) int64 { return int64(bytes)*headByteCost + int64(parts)*partCost }
 
+// PartialHeadCost returns the memory of n bytes of a head that isn't complete, in a buffer that grows by doubling.
+func PartialHeadCost(n int) int64 { return 2 * int64(n) }
+
 // Reserve reserves the memory of a head. The lease keeps that of the head that costs most until [Lease.Shrink] or its
 // end.
 func (l *Lease) Reserve(cost int64) error {
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -33,8 +33,13 @@
 // NewReader returns a reader of a new connection.
 func NewReader(opts Options) *Reader { return &Reader{opts: opts} }
 
-// Buffered returns the number of bytes that were received and not handed out.
-func (r *Reader) Buffered() int { return len(r.buf) }
+// Buffered returns the number of bytes that were received and not handed out, without empty lines between requests.
+func (r *Reader) Buffered() int {
+	if r.IsBetweenRequests() {
+		r.drop(len(r.buf) - len(skipEmptyLines(r.buf)))
+	}
+	return len(r.buf)
+}
 
 // AwaitsHead reports whether no head is complete whose request isn't.
 func (r *Reader) AwaitsHead() bool { return r.body == nil && r.ready == 0 && !r.opaque }
--- a/internal/httplisten/httplisten.go
+++ b/internal/httplisten/httplisten.go
@@ -62,7 +62,7 @@
 		}
 		conn.requests = http1.NewReader(http1.Options{
 			MaxHeadBytes: func() int { return l.opts.MaxHeadBytes }, HTTP2: l.opts.HTTP2,
-			Reserve:  func(n int) error { return conn.lease.Reserve(int64(n) * partCost) },
+			Reserve:  func(n int) error { return conn.lease.Reserve(connlimit.PartialHeadCost(n)) },
 			Admit:    func(h *http1.Head) error { return conn.lease.Reserve(connlimit.HeadCost(h.Bytes, h.Parts)) },
 			Complete: conn.completeRequest,
 		})
@@ -70,9 +70,6 @@
 	}
 }
 
-// partCost is the memory of a byte of a head that isn't complete, in a buffer that grows by doubling.
-const partCost = 2
-
 // ConnState is the hook of the same name of the server.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	conn, ok := c.(*Conn)
