Test that an unread, malformed body gets one response

The reader refuses malformed chunks with a response of its own; a handler that has answered without reading the body must not get a second one on the wire. It passes: the library doesn't read such a body on.

--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -139,6 +139,18 @@
 	require.Equal(t, "/last", body)
 }
 
+// Guards against a second response to a request whose body is left unread, and is malformed.
+func TestUnreadBodyGetsOneResponse(t *testing.T) {
+	f := start(t, Options{WriteTimeout: testTimeout})
+	c := f.dial()
+	c.send("POST " + refusedPath + " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("2000\r\n"+strings.Repeat("x", 8192)+"\r\n", 4) + "x\r\n")
+	body, closes := c.receive()
+	require.Equal(t, refusedPath, body)
+	require.True(t, closes)
+	rest, _ := io.ReadAll(c.r)
+	require.Empty(t, string(rest))
+}
+
 // Guards against heads that a caller sends without end, a byte at a time.
 func TestHeadTimeout(t *testing.T) {
 	f := start(t, Options{ReadTimeout: 200 * time.Millisecond})
