Count connections of net/http by what they hold

They are counted with 24 KB, which leaves 16 KB for a usual request as before: 1,200 connections.

No instance was seen without room; found by working out the largest fleet.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -295,7 +295,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if conn.lease, err = l.opts.Account.Open(l.opts.Class, conn.evict); err != nil {
+	if conn.lease, err = l.opts.Account.Open(l.opts.Class, connlimit.LibraryConnBytes, conn.evict); err != nil {
 		return nil, err
 	}
 	if err := l.register(conn); err != nil {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	account := connlimit.New(connlimit.Options{Bytes: 16 << 20, Connections: 1000})
-//	lease, err := account.Open(connlimit.Callers, conn.evict)
+//	lease, err := account.Open(connlimit.Callers, connlimit.LibraryConnBytes, conn.evict)
 //	defer lease.Close()
 //	err = lease.Reserve(connlimit.HeadCost(head.Bytes, head.Parts))
 //	lease.Work() // the request is complete
@@ -31,8 +31,6 @@
 var ErrFull = merry.Sentinel("connections hold too much")
 
 const (
-	// connectionBytes is the memory of a connection and of a request with a usual head.
-	connectionBytes = 40 << 10
 	// headByteCost and partCost are the memory that a byte and a part of a head take in all copies of it, of which
 	// freeBytes belong to the connection.
 	headByteCost = 8
@@ -49,6 +47,12 @@
 	logInterval = 10 * time.Second
 )
 
+// The memory of a connection with a request whose head is usual, as the HTTP library and net/http hold it.
+const (
+	LibraryConnBytes = 40 << 10
+	NetConnBytes     = 24 << 10
+)
+
 // Class says whom a connection serves.
 type Class int
 
@@ -114,6 +118,8 @@
 type Lease struct {
 	account *Account
 	class   Class
+	// bytes is the memory of the connection without that of large heads.
+	bytes int64
 	// evict closes the connection if it waits for its client, and reports whether it has.
 	evict func() bool
 
@@ -124,10 +130,11 @@
 	closed  bool
 }
 
-// Open reserves the memory of a connection that waits for its client. evict is called to close it if it still waits.
-func (a *Account) Open(class Class, evict func() bool) (*Lease, error) {
-	l := &Lease{account: a, class: class, evict: evict}
-	if err := a.reserve(l, holding{bytes: connectionBytes, connections: 1}); err != nil {
+// Open reserves the memory of a connection that waits for its client, a number of bytes. evict is called to close it if
+// it still waits.
+func (a *Account) Open(class Class, bytes int64, evict func() bool) (*Lease, error) {
+	l := &Lease{account: a, class: class, bytes: bytes, evict: evict}
+	if err := a.reserve(l, holding{bytes: bytes, connections: 1}); err != nil {
 		a.refused("connection", class)
 		return nil, err
 	}
@@ -206,7 +213,7 @@
 	l.closed = true
 	a.unlist(l)
 	a.shrink(l)
-	a.held[l.class].bytes -= connectionBytes
+	a.held[l.class].bytes -= l.bytes
 	a.held[l.class].connections--
 	if l.evicted {
 		a.evicting--
--- a/internal/httplisten/httplisten.go
+++ b/internal/httplisten/httplisten.go
@@ -56,7 +56,7 @@
 			return nil, err
 		}
 		conn := &Conn{Conn: accepted}
-		if conn.lease, err = l.opts.Account.Open(l.opts.Class, conn.evict); err != nil {
+		if conn.lease, err = l.opts.Account.Open(l.opts.Class, connlimit.NetConnBytes, conn.evict); err != nil {
 			_ = accepted.Close()
 			continue
 		}
