Leave bytes after a body in the socket

What would be seen: memory beyond the account. A codec that reads a body may offer a buffer of the size of the largest body, and what a client has sent after its body came with it: megabytes held for the next request while this one is handled, which the account doesn't count (found by reading).

Cause: the reader received as much as the buffer took and kept the rest. It now receives what is left of a body, of a chunked one 512 bytes beyond the present chunk, and 4 KB at most while it awaits a head.

TestBytesAfterBodyStayUnread held 1,048,576 bytes before, and 512 at most now.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -49,6 +49,14 @@
 	return b.remaining == 0
 }
 
+// Awaited returns how many bytes may be received of a body that isn't complete. Beyond the present chunk it is minRead.
+func (b *Body) Awaited() int64 {
+	if b.chunked {
+		return b.remaining + minRead
+	}
+	return b.remaining
+}
+
 // Next takes the bytes of the body that p begins with. It moves those that a codec needs to the beginning of p:
 // kept is their number, used the number of bytes taken. limit is the maximum size of what is dropped.
 func (b *Body) Next(p []byte, limit int) (kept, used int, err error) {
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -47,8 +47,11 @@
 // IsBetweenRequests reports whether the last request was handed out to its end.
 func (r *Reader) IsBetweenRequests() bool { return r.AwaitsHead() && r.head.Bytes == 0 }
 
-// minRead is the smallest buffer that is filled for a head.
-const minRead = 512
+// minRead is the smallest buffer that is filled for a head, maxRead the largest: what follows the request is held.
+const (
+	minRead = 512
+	maxRead = 4 << 10
+)
 
 // Read fills p with bytes of requests, which receive gets from the connection.
 func (r *Reader) Read(p []byte, receive func(p []byte) (int, error)) (int, error) {
@@ -129,9 +132,10 @@
 	return receive(p)
 }
 
-// readBody reads bytes of a body. It returns none if all that came was dropped.
+// readBody reads bytes of a body. It returns none if all that came was dropped. It receives few bytes beyond what the
+// body is known to have: those of a further request would be held without room for them.
 func (r *Reader) readBody(p []byte, receive func(p []byte) (int, error)) (int, error) {
-	n, err := r.take(p, receive)
+	n, err := r.take(p[:min(int64(len(p)), r.body.Awaited())], receive)
 	if n == 0 {
 		return 0, err
 	}
@@ -159,7 +163,7 @@
 			return 0, err
 		}
 	}
-	q := p
+	q := p[:min(len(p), maxRead)]
 	if len(q) < minRead {
 		q = make([]byte, minRead)
 	}
@@ -167,7 +171,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	if len(r.buf) == 0 && len(q) == len(p) {
+	if len(r.buf) == 0 && len(p) >= minRead {
 		return r.scanReceived(p[:n])
 	}
 	return 0, r.hold(q[:n])
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -133,3 +133,29 @@
 	require.NoError(t, err)
 	require.Equal(t, "\x00bytes\n", got)
 }
+
+// Guards against bytes after a body that are held without room for them: a codec may offer a large buffer.
+func TestBytesAfterBodyStayUnread(t *testing.T) {
+	further := strings.Repeat("x", 1<<20)
+	tests := map[string]string{
+		"length": "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("a", 100),
+		"chunks": "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n64\r\n" + strings.Repeat("a", 100) + "\r\n0\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			complete := false
+			r := NewReader(Options{MaxHeadBytes: limit, Complete: func() { complete = true }})
+			end := strings.Index(text, "\r\n\r\n") + 4
+			s := &source{text[:end], end}
+			p := make([]byte, len(text)+len(further))
+			_, err := r.Read(p[:end], s.receive)
+			require.NoError(t, err)
+			s.text, s.part = text[end:]+further, len(p)
+			for !complete {
+				_, err := r.Read(p, s.receive)
+				require.NoError(t, err)
+			}
+			require.LessOrEqual(t, r.Buffered(), minRead)
+		})
+	}
+}
