Wait in a test until connections are idle

Cause, in the test: with room for three connections, two whose responses had been received weren't known to be idle yet, as net/http says so after it has written a response, so that no connection waited and the new one was refused. That is what the account promises: a complete request is never closed. The test now waits for the server's word that a connection is idle; its checks and the number of connections are the same. TestHeadsWithoutRoom had the same gap.

--- a/internal/httplisten/httplisten_test.go
+++ b/internal/httplisten/httplisten_test.go
@@ -24,12 +24,14 @@
 	address string
 	held    chan struct{}
 	release chan struct{}
+	// idle gets an element once a connection whose request was handled awaits the next one.
+	idle chan struct{}
 }
 
 func start(t *testing.T, account *connlimit.Account) *fixture {
 	tcp, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := &fixture{t: t, address: tcp.Addr().String(), held: make(chan struct{}, 1), release: make(chan struct{})}
+	f := &fixture{t: t, address: tcp.Addr().String(), held: make(chan struct{}, 1), release: make(chan struct{}), idle: make(chan struct{}, 100)}
 	l := New(tcp, Options{Account: account, Class: connlimit.Internal, MaxHeadBytes: 16 << 10})
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
@@ -51,7 +53,12 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
 		_, _ = io.Copy(conn, buffered)
 	})
-	server := &http.Server{Handler: mux, ConnState: l.ConnState, ReadHeaderTimeout: testTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: testTimeout, ConnState: func(c net.Conn, state http.ConnState) {
+		l.ConnState(c, state)
+		if state == http.StateIdle {
+			f.idle <- struct{}{}
+		}
+	}}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	t.Cleanup(func() {
@@ -114,11 +121,13 @@
 	idle.send(get("/idle"))
 	_, body := idle.receive()
 	require.Equal(t, "/idle", body)
+	<-f.idle
 	for i := range 10 {
 		c := f.dial()
 		c.send(get(fmt.Sprint("/", i)))
 		_, body := c.receive()
 		require.Equal(t, fmt.Sprint("/", i), body)
+		<-f.idle
 	}
 	_, err := idle.r.ReadByte()
 	require.Error(t, err)
@@ -136,6 +145,7 @@
 		first.send(large)
 		_, body := first.receive()
 		require.Equal(t, "/large", body)
+		<-f.idle
 	}
 	held := f.dial()
 	held.send(strings.Replace(large, "/large", "/held", 1))
@@ -147,6 +157,7 @@
 	close(f.release)
 	_, body := held.receive()
 	require.Equal(t, "/held", body)
+	<-f.idle
 	first.send(large)
 	_, body = first.receive()
 	require.Equal(t, "/large", body)
