Refuse answers whose status isn't one

What callers saw: answers of 600, 700 and 999, and 101 to requests that asked for no upgrade, were passed on with that status, at each kind of route, direct and through another instance. After 101 the connection has no more answers, so that the real one was lost with it.

Cause: the status line was checked for three digits that begin with 1 to 9 (RFC 9110, 15, has 100 to 599), and 101 was taken for the end of the interim answers whether or not an upgrade was asked for.

The head of each answer is read in one place, httpclient.ReadHead. Such an answer is a lost one (ErrUnknownOutcome), as a cut head is. The range is in http1, for the other readers of answers.

--- /dev/null
+++ b/internal/http1/answer.go
@@ -0,0 +1,7 @@
+package http1
+
+// IsStatus reports whether status is that of an answer, an interim one too (RFC 9110, 15).
+func IsStatus(status int) bool { return 100 <= status && status <= 599 }
+
+// IsFinalStatus reports whether an answer with status ends an exchange that asked for no upgrade.
+func IsFinalStatus(status int) bool { return 200 <= status && IsStatus(status) }
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -6,12 +6,15 @@
 	"io"
 	"net/http"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	respcodec "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"pollenspindle.example/pollenspindle/internal/http1"
 )
 
 // maxHeadBytes limits the head of a response, and its trailers.
@@ -20,20 +23,33 @@
 // maxInterimAnswers limits the interim answers (RFC 9110, 15.2) before an answer.
 const maxInterimAnswers = 8
 
-// errMalformedHead means that a head doesn't say for certain where its answer ends.
+// errMalformedHead means that a head isn't HTTP, or doesn't say for certain where its answer ends.
 var errMalformedHead = merry.Sentinel("head of the response is malformed")
 
 // statusLine is the beginning of a status line.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-9][0-9][0-9]( |$)`)
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})( |$)`)
 
-// readHead reads the head of the answer, and skips interim ones.
+// isStatusLine reports whether line is the status line of an answer.
+func isStatusLine(line []byte) bool {
+	parts := statusLine.FindSubmatch(line)
+	if parts == nil {
+		return false
+	}
+	status, err := strconv.Atoi(string(parts[1]))
+	return err == nil && http1.IsStatus(status)
+}
+
+// readHead reads the head of the answer, and skips interim ones. It fails on an upgrade, which no request asks for.
 func (r *Response) readHead() error {
 	for range maxInterimAnswers {
 		if err := ReadHead(r.Response, r.conn); err != nil {
 			return err
 		}
-		if status := r.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		switch status := r.StatusCode(); {
+		case http1.IsFinalStatus(status):
 			return nil
+		case status == http.StatusSwitchingProtocols:
+			return merry.Wrap(errMalformedHead)
 		}
 		r.Reset()
 	}
@@ -114,7 +130,7 @@
 		switch {
 		case len(line) == 0:
 			continue
-		case !begun && !statusLine.Match(line):
+		case !begun && !isStatusLine(line):
 			return merry.Wrap(errMalformedHead)
 		case !begun:
 			begun = true
--- /dev/null
+++ b/internal/httpclient/malformed_test.go
@@ -0,0 +1,50 @@
+package httpclient
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/test/cutanswer"
+)
+
+// Guards against answers with a malformed head that are taken for answers, whole or with another body.
+func TestMalformedHeadsFail(t *testing.T) {
+	const fields, body = "X-Field: value\r\n", "twelve bytes"
+	for name, answer := range cutanswer.MalformedStatuses(fields, body) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
+			defer h.Close()
+			c := New(Options{})
+			defer c.Close()
+			for callName, call := range calls {
+				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), http.MethodPost, call)
+				require.ErrorIs(t, err, ErrUnknownOutcome, "%s: status %d, body %q", callName, status, got)
+			}
+		})
+	}
+}
+
+// Guards against valid answers that are refused because they are unusual.
+func TestOddHeadsAreRead(t *testing.T) {
+	const body = "twelve bytes"
+	for name, answer := range cutanswer.Odd("X-Field: value\r\n", body) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
+			defer h.Close()
+			c := New(Options{})
+			defer c.Close()
+			for callName, call := range calls {
+				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), http.MethodPost, call)
+				require.NoError(t, err, callName)
+				require.Equal(t, answer.Status, status, callName)
+				require.Equal(t, body, got, callName)
+			}
+		})
+	}
+}
--- a/test/cutanswer/cutanswer.go
+++ b/test/cutanswer/cutanswer.go
@@ -1,5 +1,5 @@
-// Package cutanswer has a server that ends its connections, or pauses, after some bytes of an answer. It is used
-// by tests only.
+// Package cutanswer has a server that ends its connections, or pauses, after some bytes of an answer, and answers
+// with malformed heads. It is used by tests only.
 //
 // # Usage
 //
@@ -148,7 +148,7 @@
 // their heads.
 func Answers(fields, body string) map[string]Answer {
 	const ok = "HTTP/1.1 200 OK\r\n"
-	length := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	length := lengthOf(body)
 	const chunked = "Transfer-Encoding: chunked\r\n"
 	chunks := chunk(body[:1], "") + chunk(body[1:], "")
 	hints := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 0\r\n\r\n"
