Refuse answers with a field whose name isn't a token

What callers saw: an answer with a control byte, a byte over 0x7f or another character that isn't one of a token in the name of a field was passed on without that line. With "Transfer-Encoding\x00: chunked" the sizes of the chunks were in the body of a 200, as they were after a status line that a line with a blank continues. A 421 with such a line let a booking and a stream without resumption run twice, and 429 and 503 told callers that a request wasn't run that a server had.

Cause: checkHead looked for a blank, a tab and a return in names. The codec drops a name with any other byte that isn't one of a token, without an error, and the framing that it names. The unfolding joined a line that begins with a blank to the status line, of which the codec takes no notice.

A name is a token (RFC 9110, 5.1 and 5.6.2), by the table that reads callers' requests, and a line that would continue the status line is one of its own, so that it has no valid name (RFC 9112, 2.2). Heads are checked before the codec sees them, interim ones too, so a head with such a line says nothing that counts: the answer is lost, and may be the answer to a request that has run.

--- a/internal/dialpeer/dialpeer_test.go
+++ b/internal/dialpeer/dialpeer_test.go
@@ -161,6 +161,32 @@
 	}
 }
 
+// Guards against a malformed answer of another instance that is taken for an open connection, or for what it says of
+// the server.
+func TestMalformedAnswerOpensNothing(t *testing.T) {
+	for name, head := range map[string]string{
+		"NUL in a name":          "HTTP/1.1 101 Switching Protocols\r\nX\x00: 1\r\n\r\n",
+		"blank in a name":        "HTTP/1.1 101 Switching Protocols\r\nUpgrade : other\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 Odd\r\n\r\n",
+		"status 600, a cause":    "HTTP/1.1 600 Odd\r\nDial-Failure: link\r\nContent-Length: 0\r\n\r\n",
+		"NUL in a name, a cause": "HTTP/1.1 502 Bad Gateway\r\nDial-Failure: link\r\nX\x00: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			through, _ := listen(t, func(conn *net.TCPConn) {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, head)
+				}
+			})
+			client, _ := newPeer(t, "client")
+			_, err := exchange(t, client, dialpeer.Instance{ID: "relay", Address: through}, "127.0.0.1:1")
+			require.ErrorIs(t, err, httpclient.ErrNotSent)
+			require.ErrorIs(t, err, dialpeer.ErrPeer)
+			require.NotErrorIs(t, err, dialpeer.ErrLink)
+		})
+	}
+}
+
 // Guards against requests that are refused because each other instance was slow or refused once.
 func TestInstancesThatFailedAreAskedLast(t *testing.T) {
 	key, err := peer.NewKey("cG9sbGVuc3BpbmRsZS1wZWVyLWtleS0zMi1ieXRlcy4=")
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -5,3 +5,6 @@
 
 // IsFinalStatus reports whether an answer with status ends an exchange that asked for no upgrade.
 func IsFinalStatus(status int) bool { return 200 <= status && IsStatus(status) }
+
+// IsFieldName reports whether name is that of a field (RFC 9110, 5.1).
+func IsFieldName(name []byte) bool { return isToken(name) }
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -106,15 +106,18 @@
 	return nil, merry.Wrap(ErrTooLarge)
 }
 
-// unfold returns a copy of a head in which lines that continue a field are part of its line (RFC 9112, 5.2).
+// unfold returns a copy of a head in which lines that continue a field are part of its line (RFC 9112, 5.2). A line
+// that would continue the status line stays one of its own.
 func unfold(head []byte) []byte {
 	lines := bytes.Clone(head)
-	for i := 0; i+1 < len(lines); i++ {
+	start := len(lines) - len(bytes.TrimLeft(lines, "\r\n"))
+	fields := start + bytes.IndexByte(lines[start:], '\n') + 1
+	for i := fields; i+1 < len(lines); i++ {
 		if lines[i] != '\n' || lines[i+1] != ' ' && lines[i+1] != '\t' {
 			continue
 		}
 		lines[i] = ' '
-		if i > 0 && lines[i-1] == '\r' {
+		if lines[i-1] == '\r' {
 			lines[i-1] = ' '
 		}
 	}
@@ -122,7 +125,7 @@
 }
 
 // checkHead fails if fields that say where an answer ends can be read in several ways: the codec takes the last of
-// two lengths, and takes a field with a blank in its name for another one.
+// two lengths, and drops a field whose name isn't a token.
 func checkHead(head []byte) error {
 	length, coding, begun := "", "", false
 	for line := range bytes.Lines(head) {
@@ -139,7 +142,7 @@
 		name, value, ok := bytes.Cut(line, []byte{':'})
 		text := string(bytes.Trim(value, " \t"))
 		switch {
-		case !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r"):
+		case !ok || !http1.IsFieldName(name):
 			return merry.Wrap(errMalformedHead)
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			if strings.Trim(text, "0123456789") != "" || length != "" && length != text {
--- a/internal/httpclient/malformed_test.go
+++ b/internal/httpclient/malformed_test.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,7 +15,9 @@
 // Guards against answers with a malformed head that are taken for answers, whole or with another body.
 func TestMalformedHeadsFail(t *testing.T) {
 	const fields, body = "X-Field: value\r\n", "twelve bytes"
-	for name, answer := range cutanswer.MalformedStatuses(fields, body) {
+	tests := cutanswer.MalformedStatuses(fields, body)
+	maps.Copy(tests, cutanswer.MalformedNames(fields, body))
+	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
--- a/test/cutanswer/malformed.go
+++ b/test/cutanswer/malformed.go
@@ -28,6 +28,47 @@
 	return answers
 }
 
+// MalformedNames returns answers by name that are sound but for the name of a field, which is no token (RFC 9110,
+// 5.6.2).
+func MalformedNames(fields, body string) map[string]Answer {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	answers := map[string]Answer{}
+	for _, c := range []byte("\x00\x01\x07\x08\t\x0b\x0c\r\x0e\x1b\x1f \x7f\"(),/;<=>?@[\\]{}\x80\xa0\xff") {
+		for place, name := range map[string]string{"first": string([]byte{c}) + "X-Name", "middle": "X-" + string([]byte{c}) + "Name", "last": "X-Name" + string([]byte{c})} {
+			if place == "first" && (c == ' ' || c == '\t') {
+				// A folded line, unless it comes first.
+				answers[fmt.Sprintf("byte %#02x first in a name", c)] = Answer{Head: ok + name + ": 1\r\n" + fields + lengthOf(body) + "\r\n", Framed: body}
+				continue
+			}
+			head := wholeHead{ok, fields + name + ": 1\r\n", lengthOf(body)}
+			answers[fmt.Sprintf("byte %#02x %s in a name", c, place)] = Answer{Head: head.text(), Framed: body}
+		}
+	}
+	chunks := chunk(body[:1], "") + chunk(body[1:], "") + "0\r\n\r\n"
+	half := lengthOf(body[:len(body)/2])
+	for name, line := range map[string]string{
+		"NUL after chunked coding": "Transfer-Encoding\x00: chunked\r\n", "tabulator before chunked coding": "\x0bTransfer-Encoding: chunked\r\n",
+		"blank after chunked coding": "Transfer-Encoding : chunked\r\n", "DEL in chunked coding": "Transfer-\x7fEncoding: chunked\r\n",
+	} {
+		answers[name] = Answer{Head: ok + fields + line + "\r\n", Framed: chunks}
+	}
+	answers["chunked coding in a line that continues the status"] = Answer{Head: ok + " Transfer-Encoding: chunked\r\n" + fields + "\r\n", Framed: chunks}
+	answers["NUL after a length"] = Answer{Head: ok + fields + "Content-Length\x00" + half[len("Content-Length"):] + "\r\n", Framed: body}
+	answers["blank after a length"] = Answer{Head: ok + fields + "Content-Length " + half[len("Content-Length"):] + "\r\n", Framed: body}
+	answers["blank after one of two lengths"] = Answer{Head: ok + fields + "Content-Length " + half[len("Content-Length"):] + lengthOf(body) + "\r\n", Framed: body}
+	for name, field := range map[string]string{"NUL": "Li\x00nk", "blank": "Link "} {
+		interim := "HTTP/1.1 103 Early Hints\r\n" + field + ": </a>\r\n\r\n"
+		answers[name+" in a name of an interim head"] = Answer{Head: interim + wholeHead{ok, fields, lengthOf(body)}.text(), Framed: body}
+	}
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusNotFound} {
+		head := wholeHead{"HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n", fields + "Retry-After: 1\r\nX-\x00Name: 1\r\n", lengthOf(body)}
+		answers[fmt.Sprintf("NUL in a name, status %d", status)] = Answer{Head: head.text(), Framed: body}
+		head.fields = fields + "Retry-After: 1\r\nX-Name : 1\r\n"
+		answers[fmt.Sprintf("blank in a name, status %d", status)] = Answer{Head: head.text(), Framed: body}
+	}
+	return answers
+}
+
 // Odd returns answers with a body, by name, that servers seldom send, and that are valid.
 func Odd(fields, body string) map[string]Answer {
 	answers := Answers(fields, body)
