Refuse answers with a NUL or a bare return in their heads

What callers saw: a value with a NUL, in the field that says the type of the body too, was passed on with that byte, a value or reason phrase with a return that ends no line with what a parser may take for a further field.

Cause: the codec takes values as they are, and the check of heads looked at names only.

NUL and a return that isn't part of the end of a line make a head invalid (RFC 9110, 5.5; RFC 9112, 2.2): the answer is lost. Callers' requests had that rule (http1) already. Other control bytes and bytes over 0x7f in values are still passed on.

On all six answers of this kind reached callers on each of four routes, direct and through another instance (TestMalformedAnswersNeverReachCallers, real processes). Now none does.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -8,3 +8,7 @@
 
 // IsFieldName reports whether name is that of a field (RFC 9110, 5.1).
 func IsFieldName(name []byte) bool { return isToken(name) }
+
+// IsFieldValue reports whether value has no byte that some parsers take for the end of a line (RFC 9110, 5.5). It may
+// have other control bytes, and bytes over 0x7f. The same goes for the reason phrase of a status line.
+func IsFieldValue(value []byte) bool { return !hasControl(value) }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -5,7 +5,8 @@
 // A [Reader] hands out a head only once it is complete and admitted. Of chunked bodies it drops chunk extensions and
 // trailers, which have no use for a server and no limit of their own.
 //
-// It also has the rule for heads of answers that all readers of answers share: [IsStatus], [IsFinalStatus] and [IsFieldName].
+// It also has the rule for heads of answers that all readers of answers share: [IsStatus], [IsFinalStatus],
+// [IsFieldName] and [IsFieldValue].
 //
 // # Usage
 //
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -129,10 +129,12 @@
 func checkHead(head []byte) error {
 	length, coding, begun := "", "", false
 	for line := range bytes.Lines(head) {
-		line = bytes.TrimRight(line, "\r\n")
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 		switch {
 		case len(line) == 0:
 			continue
+		case !http1.IsFieldValue(line):
+			return merry.Wrap(errMalformedHead)
 		case !begun && !isStatusLine(line):
 			return merry.Wrap(errMalformedHead)
 		case !begun:
--- a/internal/httpclient/malformed_test.go
+++ b/internal/httpclient/malformed_test.go
@@ -17,6 +17,7 @@
 	const fields, body = "X-Field: value\r\n", "twelve bytes"
 	tests := cutanswer.MalformedStatuses(fields, body)
 	maps.Copy(tests, cutanswer.MalformedNames(fields, body))
+	maps.Copy(tests, cutanswer.MalformedValues(fields, body))
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/test/cutanswer/malformed.go
+++ b/test/cutanswer/malformed.go
@@ -69,6 +69,22 @@
 	return answers
 }
 
+// MalformedValues returns answers by name that are sound but for a byte in the value of a field, or in the reason
+// phrase, that some parsers take for the end of the line (RFC 9110, 5.5).
+func MalformedValues(fields, body string) map[string]Answer {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	answers := map[string]Answer{
+		"NUL in the reason phrase":    {Head: wholeHead{"HTTP/1.1 200 O\x00K\r\n", fields, lengthOf(body)}.text(), Framed: body},
+		"return in the reason phrase": {Head: wholeHead{"HTTP/1.1 200 OK\rX-Name: 1\r\n", fields, lengthOf(body)}.text(), Framed: body},
+	}
+	for name, value := range map[string]string{
+		"NUL in a value": "a\x00b", "NUL last in a value": "a\x00", "return in a value": "a\rX-Other: b", "return last in a value": "a\r",
+	} {
+		answers[name] = Answer{Head: wholeHead{ok, fields + "X-Name: " + value + "\r\n", lengthOf(body)}.text(), Framed: body}
+	}
+	return answers
+}
+
 // Odd returns answers with a body, by name, that servers seldom send, and that are valid.
 func Odd(fields, body string) map[string]Answer {
 	answers := Answers(fields, body)
