Count no crash for a server that answers malformed and is replaced

What callers saw (a test of ingress, not seen with real processes): a request, and the parts of its prompt, were counted as crashing a server that had sent a malformed answer and was listed as a new incarnation within 8 s. After three such servers the request is refused, and sound requests with the same part wait for trials.

Cause: a malformed answer is a lost one, and for each lost one the server is dialled twice. One that accepts both times counts as crashed if the platform lists it anew later, since it may have restarted in between. A server that has sent a head hasn't crashed before it, and one in trouble is replaced for its answers.

Malformed heads have an error of their own (httpclient.ErrMalformed, the cause of ErrUnknownOutcome). The two dials stay, so that a request whose servers are gone after their malformed answers is found as before; the wait for a new incarnation is left out. The server still counts as one that fails.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -33,6 +33,10 @@
 	ErrUnknownOutcome = merry.Sentinel("exchange lost")
 	// ErrTooLarge means that the response exceeds the size limit. The server has run the request.
 	ErrTooLarge = merry.Sentinel("response too large")
+	// ErrMalformed means that the server sent the head of a response that isn't HTTP, or that doesn't say for
+	// certain where its body ends. Like a lost response it says nothing of the request; it is the cause of
+	// [ErrUnknownOutcome].
+	ErrMalformed = merry.Sentinel("head of the response is malformed")
 )
 
 // Options are the limits of a [Client]. Zero fields take the defaults.
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -23,9 +23,6 @@
 // maxInterimAnswers limits the interim answers (RFC 9110, 15.2) before an answer.
 const maxInterimAnswers = 8
 
-// errMalformedHead means that a head isn't HTTP, or doesn't say for certain where its answer ends.
-var errMalformedHead = merry.Sentinel("head of the response is malformed")
-
 // statusLine is the beginning of a status line.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})( |$)`)
 
@@ -49,7 +46,7 @@
 		case http1.IsFinalStatus(status):
 			return nil
 		case status == http.StatusSwitchingProtocols:
-			return merry.Wrap(errMalformedHead)
+			return merry.Wrap(ErrMalformed)
 		}
 		r.Reset()
 	}
@@ -77,7 +74,7 @@
 		return err
 	}
 	if unread.Len() > 0 {
-		return merry.Wrap(errMalformedHead)
+		return merry.Wrap(ErrMalformed)
 	}
 	return nil
 }
@@ -134,9 +131,9 @@
 		case len(line) == 0:
 			continue
 		case !http1.IsFieldValue(line):
-			return merry.Wrap(errMalformedHead)
+			return merry.Wrap(ErrMalformed)
 		case !begun && !isStatusLine(line):
-			return merry.Wrap(errMalformedHead)
+			return merry.Wrap(ErrMalformed)
 		case !begun:
 			begun = true
 			continue
@@ -145,15 +142,15 @@
 		text := string(bytes.Trim(value, " \t"))
 		switch {
 		case !ok || !http1.IsFieldName(name):
-			return merry.Wrap(errMalformedHead)
+			return merry.Wrap(ErrMalformed)
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			if strings.Trim(text, "0123456789") != "" || length != "" && length != text {
-				return merry.Wrap(errMalformedHead)
+				return merry.Wrap(ErrMalformed)
 			}
 			length = text
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			if !strings.EqualFold(text, "chunked") || coding != "" {
-				return merry.Wrap(errMalformedHead)
+				return merry.Wrap(ErrMalformed)
 			}
 			coding = text
 		}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -278,7 +278,7 @@
 			case err == nil:
 				s.recordAnswered(r)
 			case errors.Is(err, errBodyLost):
-				s.reportCrash(place.Server, r)
+				s.reportCrash(place.Server, r, err)
 			}
 			return false, err
 		}
@@ -289,13 +289,13 @@
 			Dur("took", now.Sub(r.start)).Err(res.err).Msg("attempt failed")
 		if ctx.Err() != nil {
 			if res.cause == retry.CauseLost && s.opts.Suspects != nil && s.opts.Suspects.hasCrashed(r.fingerprint, r.parts) {
-				s.reportCrash(place.Server, r)
+				s.reportCrash(place.Server, r, res.err)
 			}
 			return false, s.callerGone(c)
 		}
 		if res.cause == retry.CauseLost {
 			s.recordOutcome(place.Server, r, rollout.MetricAnswer, true, 0)
-			s.awaitCrashCheck(ctx, r, s.reportCrash(place.Server, r))
+			s.awaitCrashCheck(ctx, r, s.reportCrash(place.Server, r, res.err))
 		}
 		if res.cause != retry.CauseRefused && res.cause != retry.CauseOverload && !s.opts.LinksLost() {
 			s.opts.Balancer.RecordFailure(now, id)
--- a/internal/ingress/crash_checks.go
+++ b/internal/ingress/crash_checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,12 +36,13 @@
 var restartChecks = []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
 
 // lostRequest is a request whose connection to a server was lost. progress is how far its run there had got;
-// trial is the part that was tried, 0 for none.
+// trial is the part that was tried, 0 for none. answered says that the server had sent a head, a malformed one.
 type lostRequest struct {
 	*request
 	at       time.Time
 	progress crashsuspect.Progress
 	trial    uint64
+	answered bool
 }
 
 // crashCheck is the check of one incarnation of a server. first is closed when it has been checked once.
@@ -135,7 +137,11 @@
 		if attempt > 0 {
 			// Requests that are lost from now on need a check of their own.
 			c.forget(check)
-			c.awaitRestart(check, 0)
+			// A server that sends malformed answers and runs on may be replaced because of them.
+			check.lost = slices.DeleteFunc(check.lost, func(lost *lostRequest) bool { return lost.answered })
+			if len(check.lost) > 0 {
+				c.awaitRestart(check, 0)
+			}
 			return
 		}
 		time.AfterFunc(crashRecheckDelay, func() {
--- a/internal/ingress/part_evidence_test.go
+++ b/internal/ingress/part_evidence_test.go
@@ -19,6 +19,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
 	"pollenspindle.example/pollenspindle/internal/dialect"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 	"pollenspindle.example/pollenspindle/internal/trialpeer"
 )
@@ -408,7 +409,7 @@
 		return dial(ctx, address, timeout)
 	}
 	for i := range 2 * maxLostRequests {
-		<-f.reportCrash(platformstate.Server{Server: server.Server}, &request{id: fmt.Sprint(i), fingerprint: uint64(i), parts: []uint64{7}})
+		<-f.reportCrash(platformstate.Server{Server: server.Server}, &request{id: fmt.Sprint(i), fingerprint: uint64(i), parts: []uint64{7}}, httpclient.ErrUnknownOutcome)
 	}
 	require.EqualValues(t, 1, dials.Load())
 	e, _ := f.opts.Suspects.Entry(7)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -115,14 +115,14 @@
 			s.recordBreak(s.opts.Now(), cs.stream)
 			server := cs.stream.server()
 			s.opts.Balancer.RecordFailure(s.opts.Now(), server.ID)
-			checked = s.reportCrash(server, r)
+			checked = s.reportCrash(server, r, err)
 			s.endTrials(r, crashsuspect.TrialFailed)
 			if known, ok := s.opts.State.Server(server.ID); ok && !known.Leaving {
 				s.recordOutcome(server, r, rollout.MetricAnswer, true, 0)
 			}
 		case cs.stream.silenceConfirmed() && !cs.stream.isCuttingOver() && !cs.stream.hasNextRun():
 			// An engine that falls silent may be about to end.
-			checked = s.reportCrash(cs.stream.server(), r)
+			checked = s.reportCrash(cs.stream.server(), r, err)
 			s.endTrials(r, crashsuspect.TrialFailed)
 		}
 		if resumes >= maxResumes {
@@ -435,7 +435,7 @@
 	response, err := cs.s.forward(ctx, cs.r, place, kind, extra, true)
 	if err != nil {
 		if classifyError(err).cause == retry.CauseLost && ctx.Err() == nil {
-			cs.s.reportCrash(place.Server, cs.r)
+			cs.s.reportCrash(place.Server, cs.r, err)
 			cs.s.endTrials(cs.r, crashsuspect.TrialFailed)
 		}
 		return nil, cs.askError(ctx, err)
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"pollenspindle.example/pollenspindle/internal/answer"
 	"pollenspindle.example/pollenspindle/internal/crashsuspect"
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 	"pollenspindle.example/pollenspindle/internal/platformstate"
 )
 
@@ -134,13 +136,15 @@
 	return f
 }
 
-// reportCrash checks whether the server crashed to which a request has lost its connection. The result is
-// closed when the server has been checked for the first time.
-func (s *Server) reportCrash(server platformstate.Server, r *request) <-chan struct{} {
+// reportCrash checks whether the server crashed to which a request has lost its connection, with an error. The result
+// is closed when the server has been checked for the first time.
+func (s *Server) reportCrash(server platformstate.Server, r *request, err error) <-chan struct{} {
 	if s.opts.Suspects == nil {
 		return nil
 	}
-	return s.crashes.reportLost(server, s.lost(r))
+	lost := s.lost(r)
+	lost.answered = errors.Is(err, httpclient.ErrMalformed)
+	return s.crashes.reportLost(server, lost)
 }
 
 // lost returns what the loss of a request's server says of its present run.
--- a/internal/ingress/suspects_test.go
+++ b/internal/ingress/suspects_test.go
@@ -22,8 +22,8 @@
 	server  *httptest.Server
 	crashed atomic.Bool
 	// survives makes the server abort the response and keep running instead, closesLate close its
-	// listener a moment after the connection.
-	survives, closesLate bool
+	// listener a moment after the connection, malformed answer before its end.
+	survives, closesLate, malformed bool
 }
 
 func (f *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -42,6 +42,10 @@
 		f.crashed.Store(true)
 		_ = f.server.Listener.Close()
 	}
+	if f.malformed {
+		answerMalformed(w, r)
+		return
+	}
 	panic(http.ErrAbortHandler)
 }
 
