Refuse malformed answers of the platform and of other instances

What callers saw (tests at each reader, not seen with real processes): of 136 malformed answers the store's client took 19 for answers: objects, "not found", or the word that a write had no effect, with status 000, 101 or 503 and a blank in a name. The list of instances was taken from 7 of 136, the table of rollouts from 7; calls between instances took 42 of 272, with failures of which the answer's code was believed, and a peer over HTTP/2 2 of 2. Of a body with a "Content-Length : 6" another part was read than was sent.

Cause: net/http takes any three digits for a status, +20 and 101 without an upgrade too, keeps fields with a blank in their names, which don't frame the body then, and takes any reason phrase. What was built on it looked at the status alone.

httptransport.Transport wraps each transport of net/http and refuses such heads by the rule of http1 that calls to backend servers have, interim ones too. It closes the connection, since the bytes that follow may be taken for the answer to the next call. The answer is a lost one: a write has an unknown outcome, and a peer is unreachable. net/http doesn't limit interim answers that are traced: their number is limited as in httpclient (TestEndlessAnswers of objectapi failed without that).

TestMalformedAnswers of objectapi, instancelist, instancerpc and rollout list, and TestMalformedStatusIsNoAnswer of peer failed before with the numbers above and pass now; the other forms are tests that hold. TestOddAnswers: valid, odd answers are read, before and now.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -1,5 +1,8 @@
 package http1
 
+// MaxAnswerHeads limits the heads of an answer: the interim ones (RFC 9110, 15.2) and the final one.
+const MaxAnswerHeads = 8
+
 // IsStatus reports whether status is that of an answer, an interim one too (RFC 9110, 15).
 func IsStatus(status int) bool { return 100 <= status && status <= 599 }
 
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -20,9 +20,6 @@
 // maxHeadBytes limits the head of a response, and its trailers.
 const maxHeadBytes = 64 << 10
 
-// maxInterimAnswers limits the interim answers (RFC 9110, 15.2) before an answer.
-const maxInterimAnswers = 8
-
 // statusLine is the beginning of a status line.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})( |$)`)
 
@@ -38,7 +35,7 @@
 
 // readHead reads the head of the answer, and skips interim ones. It fails on an upgrade, which no request asks for.
 func (r *Response) readHead() error {
-	for range maxInterimAnswers {
+	for range http1.MaxAnswerHeads {
 		if err := ReadHead(r.Response, r.conn); err != nil {
 			return err
 		}
--- a/internal/httpclient/malformed_test.go
+++ b/internal/httpclient/malformed_test.go
@@ -1,7 +1,6 @@
 package httpclient
 
 import (
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,11 +13,7 @@
 
 // Guards against answers with a malformed head that are taken for answers, whole or with another body.
 func TestMalformedHeadsFail(t *testing.T) {
-	const fields, body = "X-Field: value\r\n", "twelve bytes"
-	tests := cutanswer.MalformedStatuses(fields, body)
-	maps.Copy(tests, cutanswer.MalformedNames(fields, body))
-	maps.Copy(tests, cutanswer.MalformedValues(fields, body))
-	for name, answer := range tests {
+	for name, answer := range cutanswer.Malformed("X-Field: value\r\n", "twelve bytes") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
@@ -27,6 +22,7 @@
 			defer c.Close()
 			for callName, call := range calls {
 				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), http.MethodPost, call)
+				require.ErrorIs(t, err, ErrMalformed, "%s: status %d, body %q", callName, status, got)
 				require.ErrorIs(t, err, ErrUnknownOutcome, "%s: status %d, body %q", callName, status, got)
 			}
 		})
--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/httptransport"
 )
 
 const (
@@ -54,16 +55,18 @@
 // Client reads the list. It is safe for concurrent use.
 type Client struct {
 	base      string
-	transport *http.Transport
+	transport httptransport.Transport
 	meter     *controlcost.Meter
 }
 
 // NewClient returns a client of the platform at baseURL. meter counts its bytes and may be nil.
 func NewClient(baseURL string, meter *controlcost.Meter) *Client {
 	return &Client{
-		base:      baseURL,
-		transport: &http.Transport{DialContext: controlcost.Dial, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
-		meter:     meter,
+		base: baseURL,
+		transport: httptransport.Transport{Transport: &http.Transport{
+			DialContext: controlcost.Dial, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
+		meter: meter,
 	}
 }
 
--- a/internal/instancerpc/instancerpc.go
+++ b/internal/instancerpc/instancerpc.go
@@ -18,6 +18,7 @@
 	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
 
+	"pollenspindle.example/pollenspindle/internal/httptransport"
 	"pollenspindle.example/pollenspindle/internal/peer"
 )
 
@@ -44,21 +45,21 @@
 // NewClient returns a client whose calls wait up to timeout for a connection.
 func NewClient(key peer.Key, self string, timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: timeout}
-	return &Client{Key: key, Self: self, HTTP: &http.Client{Transport: limitedTransport{&http.Transport{
+	return &Client{Key: key, Self: self, HTTP: &http.Client{Transport: limitedTransport{httptransport.Transport{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes,
-	}}}}
+	}}}}}
 }
 
 // ErrTooLarge means that a message exceeds [MaxBytes].
 var ErrTooLarge = merry.Sentinel("message of another instance too large")
 
 // limitedTransport ends the connection of an answer that exceeds [MaxBytes], instead of reading it to its end.
-type limitedTransport struct{ *http.Transport }
+type limitedTransport struct{ httptransport.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	res, err := t.Transport.RoundTrip(r)
-	if err == nil && res.StatusCode != http.StatusSwitchingProtocols {
+	if err == nil {
 		res.Body = &limitedBody{res.Body, MaxBytes}
 	}
 	return res, err
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -31,6 +31,7 @@
 	"golang.org/x/time/rate"
 
 	"pollenspindle.example/pollenspindle/internal/controlcost"
+	"pollenspindle.example/pollenspindle/internal/httptransport"
 )
 
 const (
@@ -130,7 +131,7 @@
 type Client struct {
 	base      string
 	opts      Options
-	transport *http.Transport
+	transport httptransport.Transport
 	reads     *rate.Limiter
 	// readsBlockedUntil is the time, in Unix nanoseconds, until which reads fail because of the
 	// platform's Retry-After.
@@ -155,10 +156,12 @@
 		opts.ReadBurst = defaultReadBurst
 	}
 	return &Client{
-		base:      baseURL,
-		opts:      opts,
-		transport: &http.Transport{DialContext: controlcost.Dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
-		reads:     rate.NewLimiter(rate.Limit(opts.ReadsPerSecond), opts.ReadBurst),
+		base: baseURL,
+		opts: opts,
+		transport: httptransport.Transport{Transport: &http.Transport{
+			DialContext: controlcost.Dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
+		reads: rate.NewLimiter(rate.Limit(opts.ReadsPerSecond), opts.ReadBurst),
 	}
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
 
+	"pollenspindle.example/pollenspindle/internal/httptransport"
 	"pollenspindle.example/pollenspindle/internal/peer/peerv1"
 	"pollenspindle.example/pollenspindle/internal/peer/peerv1/peerv1connect"
 )
@@ -17,7 +18,7 @@
 type Pool struct {
 	self      string
 	key       Key
-	transport *http.Transport
+	transport httptransport.Transport
 	options   connect.ClientOption
 	mu        sync.Mutex
 	clients   map[string]*Client
@@ -33,7 +34,7 @@
 		key:     key,
 		clients: map[string]*Client{},
 		options: connect.WithClientOptions(append([]connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)}, extra...)...),
-		transport: &http.Transport{
+		transport: httptransport.Transport{Transport: &http.Transport{
 			Protocols:              protocols(),
 			HTTP2:                  clientHTTP2Config(),
 			IdleConnTimeout:        clientIdleTimeout,
@@ -45,7 +46,7 @@
 				}
 				return countingConn{conn, count}, nil
 			},
-		},
+		}},
 	}
 }
 
--- a/pkg/cmd/rollout/list/list.go
+++ b/pkg/cmd/rollout/list/list.go
@@ -18,6 +18,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"pollenspindle.example/pollenspindle/internal/httptransport"
 	"pollenspindle.example/pollenspindle/internal/rolloutpeer"
 	"pollenspindle.example/pollenspindle/pkg/cmdutil"
 )
@@ -82,7 +83,8 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrNoResponse, merry.WithCause(err))
 	}
-	res, err := http.DefaultClient.Do(req)
+	transport := httptransport.Transport{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true}}
+	res, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
 		return nil, merry.Wrap(ErrNoResponse, merry.WithCause(err))
 	}
--- a/test/cutanswer/malformed.go
+++ b/test/cutanswer/malformed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 )
@@ -13,8 +14,16 @@
 
 func (h wholeHead) text() string { return h.status + h.fields + h.framing + "\r\n" }
 
+// Malformed returns answers by name whose heads aren't HTTP, of all kinds. fields are further fields of their heads.
+func Malformed(fields, body string) map[string]Answer {
+	answers := MalformedStatuses(fields, body)
+	maps.Copy(answers, MalformedNames(fields, body))
+	maps.Copy(answers, MalformedValues(fields, body))
+	return answers
+}
+
 // MalformedStatuses returns answers by name that are sound but for their status, which is none of RFC 9110, 15, or
-// answers an upgrade that nobody asked for. fields are further fields of their heads.
+// answers an upgrade that nobody asked for.
 func MalformedStatuses(fields, body string) map[string]Answer {
 	answers := map[string]Answer{}
 	for _, status := range []string{"000", "001", "099", "600", "700", "999", "0200", "2000", "-20", "+20", "20", "2x0"} {
