--- a/internal/caller/resume_notice.go
+++ b/internal/caller/resume_notice.go
@@ -5,11 +5,10 @@
 	"net/http"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"pollenspindle.example/pollenspindle/internal/httpclient"
 )
 
 const (
@@ -22,19 +21,15 @@
 
 // peerClient notifies other entry instances that a caller has resumed its generation here.
 type peerClient struct {
-	client *client.Client
+	client *httpclient.Client
 }
 
-func newPeerClient() (*peerClient, error) {
-	c, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(noticeTimeout), client.WithMaxConnsPerHost(maxNotices))
-	if err != nil {
-		return nil, merry.Prepend(err, "create the client for peers")
-	}
-	return &peerClient{client: c}, nil
+func newPeerClient() *peerClient {
+	return &peerClient{client: httpclient.New(httpclient.Options{DialTimeout: noticeTimeout, WriteTimeout: noticeTimeout})}
 }
 
 // Close closes idle connections.
-func (p *peerClient) Close() { p.client.CloseIdleConnections() }
+func (p *peerClient) Close() { p.client.Close() }
 
 // notifyEntry notifies the entry instance that started a generation that its caller has resumed.
 //
@@ -49,9 +44,9 @@
 		return
 	}
 	authorization := string(c.GetHeader("Authorization"))
-	url := "http://" + ref.id.Entry + "/v1/generations/" + ref.text + "/takeover"
+	path := "/v1/generations/" + ref.text + "/takeover"
 	err := s.notices.Submit(func() {
-		if !s.peers.notify(url, authorization) {
+		if !s.peers.notify(ref.id.Entry, path, authorization) {
 			s.scope.Counter("takeovers_untold").Inc(1)
 			s.log.Info().Str("entry", ref.id.Entry).Msg("resume notice not delivered to the entry instance")
 		}
@@ -63,9 +58,9 @@
 
 // notify sends a resume notice, with retries. It reports whether the other instance received it
 // or no longer holds the generation.
-func (p *peerClient) notify(url, authorization string) bool {
+func (p *peerClient) notify(address, path, authorization string) bool {
 	for range noticeAttempts {
-		if p.post(url, authorization) {
+		if p.post(address, path, authorization) {
 			return true
 		}
 		wait(context.Background(), noticeInterval)
@@ -73,17 +68,19 @@
 	return false
 }
 
-func (p *peerClient) post(url, authorization string) bool {
+func (p *peerClient) post(address, path, authorization string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
 	req.SetMethod(http.MethodPost)
-	req.SetRequestURI(url)
+	req.Header.SetHost(address)
+	req.SetRequestURI(path)
 	req.Header.Set("Authorization", authorization)
-	if err := p.client.DoTimeout(ctx, req, resp, noticeTimeout); err != nil {
+	resp, err := p.client.Do(ctx, address, req, httpclient.Call{})
+	if err != nil {
 		return false
 	}
+	defer resp.Close()
 	return resp.StatusCode() == http.StatusNoContent || resp.StatusCode() == http.StatusNotFound
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -168,9 +168,7 @@
 	if s.notices, err = ants.NewPool(maxNotices, ants.WithNonblocking(true)); err != nil {
 		return nil, merry.Wrap(ErrOptions, merry.WithCause(err))
 	}
-	if s.peers, err = newPeerClient(); err != nil {
-		return nil, err
-	}
+	s.peers = newPeerClient()
 	if err := limitUnread(opts.Listener, opts.SlowCallerTimeout); err != nil {
 		return nil, err
 	}
