Test malformed answers at the clients of servers

Calls of instances to servers (upstream.Call), plain services and engines of the product's own interface read answers with httpclient, too.

--- /dev/null
+++ b/internal/service/malformed_test.go
@@ -0,0 +1,27 @@
+package service_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenspindle.example/pollenspindle/internal/service"
+	"pollenspindle.example/pollenspindle/test/cutanswer"
+)
+
+// Guards against answers of a service with a malformed head that reach callers, or say that a request wasn't run.
+func TestMalformedAnswers(t *testing.T) {
+	for name, answer := range cutanswer.Malformed("X-Not-Run: true\r\n", "twelve bytes") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
+			t.Cleanup(server.Close)
+			client := newClient(t, service.Options{})
+			resp, err := client.Do(testContext(t), strings.TrimPrefix(server.URL, "http://"), service.Request{Method: http.MethodPost, Path: "/", FreshConnection: true})
+			require.ErrorIs(t, err, service.ErrUnknownOutcome, "%+v", resp)
+		})
+	}
+}
