--- a/internal/caller/resume_notice_test.go
+++ b/internal/caller/resume_notice_test.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -16,11 +15,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			answer.Head = strings.Replace(answer.Head, "HTTP/1.1 200 OK", "HTTP/1.1 404 Not Found", 1)
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
 			peers := newPeerClient()
 			t.Cleanup(peers.Close)
-			require.False(t, peers.post(strings.TrimPrefix(server.URL, "http://"), "/takeover", "Bearer token"))
+			require.False(t, peers.post(cutanswer.Start(t, answer), "/takeover", "Bearer token"))
 		})
 	}
 }
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -1,8 +1,6 @@
 package engine_test
 
 import (
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,9 +15,7 @@
 	for name, answer := range cutanswer.Malformed("X-Request-Id: r1\r\nX-Not-Run: true\r\n", "data: {}\n\n") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			client, address := engine.NewClient(engine.Options{}), strings.TrimPrefix(server.URL, "http://")
+			client, address := engine.NewClient(engine.Options{}), cutanswer.Start(t, answer)
 			t.Cleanup(client.Close)
 			_, err := client.Start(t.Context(), address, engine.Request{ID: "r1", Body: []byte(`{}`)})
 			require.ErrorIs(t, err, engine.ErrUnknownOutcome)
--- a/internal/httpclient/malformed_test.go
+++ b/internal/httpclient/malformed_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,12 +14,10 @@
 	for name, answer := range cutanswer.Malformed("X-Field: value\r\n", "twelve bytes") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			defer h.Close()
-			c := New(Options{})
+			address, c := cutanswer.Start(t, answer), New(Options{})
 			defer c.Close()
 			for callName, call := range calls {
-				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), http.MethodPost, call)
+				status, got, err := exchange(t, c, address, http.MethodPost, call)
 				require.ErrorIs(t, err, ErrMalformed, "%s: status %d, body %q", callName, status, got)
 				require.ErrorIs(t, err, ErrUnknownOutcome, "%s: status %d, body %q", callName, status, got)
 			}
@@ -35,12 +31,10 @@
 	for name, answer := range cutanswer.Odd("X-Field: value\r\n", body) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			h := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			defer h.Close()
-			c := New(Options{})
+			address, c := cutanswer.Start(t, answer), New(Options{})
 			defer c.Close()
 			for callName, call := range calls {
-				status, got, err := exchange(t, c, strings.TrimPrefix(h.URL, "http://"), http.MethodPost, call)
+				status, got, err := exchange(t, c, address, http.MethodPost, call)
 				require.NoError(t, err, callName)
 				require.Equal(t, answer.Status, status, callName)
 				require.Equal(t, body, got, callName)
--- a/internal/httptransport/httptransport_test.go
+++ b/internal/httptransport/httptransport_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -42,9 +41,7 @@
 	for name, answer := range cutanswer.Malformed("X-Field: value\r\n", "twelve bytes") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			status, body, err := get(t, newTransport(t), server.URL)
+			status, body, err := get(t, newTransport(t), "http://"+cutanswer.Start(t, answer))
 			require.Error(t, err, "status %d, body %q", status, body)
 		})
 	}
@@ -56,9 +53,7 @@
 	for name, answer := range cutanswer.Odd("X-Field: value\r\n", body) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			status, got, err := get(t, newTransport(t), server.URL)
+			status, got, err := get(t, newTransport(t), "http://"+cutanswer.Start(t, answer))
 			require.NoError(t, err)
 			require.Equal(t, answer.Status, status)
 			require.Equal(t, body, got)
@@ -112,9 +107,7 @@
 			for range tt.interim {
 				answer.Head = interim + answer.Head
 			}
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			_, _, err := get(t, newTransport(t), server.URL)
+			_, _, err := get(t, newTransport(t), "http://"+cutanswer.Start(t, answer))
 			if tt.ok {
 				require.NoError(t, err)
 				return
--- a/internal/instancelist/malformed_test.go
+++ b/internal/instancelist/malformed_test.go
@@ -1,7 +1,6 @@
 package instancelist_test
 
 import (
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,9 +14,7 @@
 	for name, answer := range cutanswer.Malformed("", `{"instances":[]}`) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			client := instancelist.NewClient(server.URL, nil)
+			client := instancelist.NewClient("http://"+cutanswer.Start(t, answer), nil)
 			t.Cleanup(client.Close)
 			_, err := client.List(t.Context())
 			require.ErrorIs(t, err, instancelist.ErrUnavailable)
--- a/internal/instancerpc/instancerpc_test.go
+++ b/internal/instancerpc/instancerpc_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -26,11 +25,9 @@
 // call calls an instance that sends one answer to all calls.
 func call(t *testing.T, answer cutanswer.Answer) (*connect.Response[message], error) {
 	t.Helper()
-	server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-	t.Cleanup(server.Close)
 	c := instancerpc.NewClient(peer.Key{}, "self", time.Second)
 	t.Cleanup(c.CloseIdleConnections)
-	rpc := connect.NewClient[message, message](c.HTTP, server.URL+"/service/Method", instancerpc.ClientOptions()...)
+	rpc := connect.NewClient[message, message](c.HTTP, "http://"+cutanswer.Start(t, answer)+"/service/Method", instancerpc.ClientOptions()...)
 	return rpc.CallUnary(t.Context(), connect.NewRequest(&message{Text: "request"}))
 }
 
--- a/internal/objectapi/malformed_test.go
+++ b/internal/objectapi/malformed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -60,9 +59,7 @@
 // serveAnswer returns a client of a platform that sends one answer to all calls.
 func serveAnswer(t *testing.T, answer cutanswer.Answer) *objectapi.Client {
 	t.Helper()
-	server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-	t.Cleanup(server.Close)
-	client := objectapi.NewClient(server.URL, objectapi.Options{Timeout: testMax})
+	client := objectapi.NewClient("http://"+cutanswer.Start(t, answer), objectapi.Options{Timeout: testMax})
 	t.Cleanup(client.Close)
 	return client
 }
--- a/internal/operatorapi/malformed_test.go
+++ b/internal/operatorapi/malformed_test.go
@@ -17,9 +17,7 @@
 // serveAnswer returns a client of an instance that sends one answer to all calls.
 func serveAnswer(t *testing.T, answer cutanswer.Answer) *operatorapi.Client {
 	t.Helper()
-	server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-	t.Cleanup(server.Close)
-	client := operatorapi.NewClient(strings.TrimPrefix(server.URL, "http://"), "token")
+	client := operatorapi.NewClient(cutanswer.Start(t, answer), "token")
 	t.Cleanup(client.Close)
 	return client
 }
--- a/internal/service/malformed_test.go
+++ b/internal/service/malformed_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,10 +15,8 @@
 	for name, answer := range cutanswer.Malformed("X-Not-Run: true\r\n", "twelve bytes") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
 			client := newClient(t, service.Options{})
-			resp, err := client.Do(testContext(t), strings.TrimPrefix(server.URL, "http://"), service.Request{Method: http.MethodPost, Path: "/", FreshConnection: true})
+			resp, err := client.Do(testContext(t), cutanswer.Start(t, answer), service.Request{Method: http.MethodPost, Path: "/", FreshConnection: true})
 			require.ErrorIs(t, err, service.ErrUnknownOutcome, "%+v", resp)
 		})
 	}
--- a/pkg/cmd/rollout/list/malformed_test.go
+++ b/pkg/cmd/rollout/list/malformed_test.go
@@ -1,8 +1,6 @@
 package list
 
 import (
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,9 +13,7 @@
 	for name, answer := range cutanswer.Malformed("", `[]`) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := httptest.NewServer(cutanswer.New(answer, "X-Id"))
-			t.Cleanup(server.Close)
-			_, err := fetch(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+			_, err := fetch(t.Context(), cutanswer.Start(t, answer))
 			require.ErrorIs(t, err, ErrNoResponse)
 		})
 	}
--- a/test/cutanswer/malformed.go
+++ b/test/cutanswer/malformed.go
@@ -4,15 +4,21 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
+	"testing"
 )
 
-// wholeHead is what a malformed head is made from.
-type wholeHead struct {
-	status, fields, framing string
-}
+const statusOK = "HTTP/1.1 200 OK\r\n"
 
-func (h wholeHead) text() string { return h.status + h.fields + h.framing + "\r\n" }
+// Start starts a server that sends one answer to all requests, until the end of the test, and returns its address.
+func Start(t testing.TB, answer Answer) (address string) {
+	t.Helper()
+	server := httptest.NewServer(New(answer, "X-Id"))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
 
 // Malformed returns answers by name whose heads aren't HTTP, of all kinds. fields are further fields of their heads.
 func Malformed(fields, body string) map[string]Answer {
@@ -25,71 +31,71 @@
 // MalformedStatuses returns answers by name that are sound but for their status, which is none of RFC 9110, 15, or
 // answers an upgrade that nobody asked for.
 func MalformedStatuses(fields, body string) map[string]Answer {
-	answers := map[string]Answer{}
+	const upgrade = "HTTP/1.1 101 Switching Protocols\r\n"
+	answers := map[string]Answer{
+		"status 101":                 withLength(upgrade, fields, body),
+		"status 101 with an upgrade": withLength(upgrade, fields+"Connection: Upgrade\r\nUpgrade: other\r\n", body),
+	}
 	for _, status := range []string{"000", "001", "099", "600", "700", "999", "0200", "2000", "-20", "+20", "20", "2x0"} {
-		head := wholeHead{"HTTP/1.1 " + status + " Odd\r\n", fields, lengthOf(body)}
-		answers["status "+status] = Answer{Head: head.text(), Framed: body}
+		answers["status "+status] = withLength("HTTP/1.1 "+status+" Odd\r\n", fields, body)
 	}
-	unasked := wholeHead{"HTTP/1.1 101 Switching Protocols\r\n", fields, lengthOf(body)}
-	answers["status 101"] = Answer{Head: unasked.text(), Framed: body}
-	unasked.fields += "Connection: Upgrade\r\nUpgrade: other\r\n"
-	answers["status 101 with an upgrade"] = Answer{Head: unasked.text(), Framed: body}
 	return answers
 }
 
 // MalformedNames returns answers by name that are sound but for the name of a field, which is no token (RFC 9110,
 // 5.6.2).
 func MalformedNames(fields, body string) map[string]Answer {
-	const ok = "HTTP/1.1 200 OK\r\n"
 	answers := map[string]Answer{}
 	for _, c := range []byte("\x00\x01\x07\x08\t\x0b\x0c\r\x0e\x1b\x1f \x7f\"(),/;<=>?@[\\]{}\x80\xa0\xff") {
-		for place, name := range map[string]string{"first": string([]byte{c}) + "X-Name", "middle": "X-" + string([]byte{c}) + "Name", "last": "X-Name" + string([]byte{c})} {
-			if place == "first" && (c == ' ' || c == '\t') {
-				// A folded line, unless it comes first.
-				answers[fmt.Sprintf("byte %#02x first in a name", c)] = Answer{Head: ok + name + ": 1\r\n" + fields + lengthOf(body) + "\r\n", Framed: body}
-				continue
-			}
-			head := wholeHead{ok, fields + name + ": 1\r\n", lengthOf(body)}
-			answers[fmt.Sprintf("byte %#02x %s in a name", c, place)] = Answer{Head: head.text(), Framed: body}
+		char := string([]byte{c})
+		for place, name := range map[string]string{"first": char + "X-Name", "middle": "X-" + char + "Name", "last": "X-Name" + char} {
+			// After another field, a line that begins with a blank would be a folded one.
+			answers[fmt.Sprintf("byte %#02x %s in a name", c, place)] = withLength(statusOK, name+": 1\r\n"+fields, body)
 		}
 	}
-	chunks := chunk(body[:1], "") + chunk(body[1:], "") + "0\r\n\r\n"
-	half := lengthOf(body[:len(body)/2])
-	for name, line := range map[string]string{
-		"NUL after chunked coding": "Transfer-Encoding\x00: chunked\r\n", "tabulator before chunked coding": "\x0bTransfer-Encoding: chunked\r\n",
-		"blank after chunked coding": "Transfer-Encoding : chunked\r\n", "DEL in chunked coding": "Transfer-\x7fEncoding: chunked\r\n",
-	} {
-		answers[name] = Answer{Head: ok + fields + line + "\r\n", Framed: chunks}
-	}
-	answers["chunked coding in a line that continues the status"] = Answer{Head: ok + " Transfer-Encoding: chunked\r\n" + fields + "\r\n", Framed: chunks}
-	answers["NUL after a length"] = Answer{Head: ok + fields + "Content-Length\x00" + half[len("Content-Length"):] + "\r\n", Framed: body}
-	answers["blank after a length"] = Answer{Head: ok + fields + "Content-Length " + half[len("Content-Length"):] + "\r\n", Framed: body}
-	answers["blank after one of two lengths"] = Answer{Head: ok + fields + "Content-Length " + half[len("Content-Length"):] + lengthOf(body) + "\r\n", Framed: body}
-	for name, field := range map[string]string{"NUL": "Li\x00nk", "blank": "Link "} {
-		interim := "HTTP/1.1 103 Early Hints\r\n" + field + ": </a>\r\n\r\n"
-		answers[name+" in a name of an interim head"] = Answer{Head: interim + wholeHead{ok, fields, lengthOf(body)}.text(), Framed: body}
+	maps.Copy(answers, malformedFraming(fields, body))
+	for _, status := range []int{http.StatusNotFound, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		line := fmt.Sprintf("HTTP/1.1 %d Refused\r\n", status)
+		answers[fmt.Sprintf("NUL in a name, status %d", status)] = withLength(line, fields+"Retry-After: 1\r\nX-\x00Name: 1\r\n", body)
+		answers[fmt.Sprintf("blank in a name, status %d", status)] = withLength(line, fields+"Retry-After: 1\r\nX-Name : 1\r\n", body)
 	}
-	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusNotFound} {
-		head := wholeHead{"HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\n", fields + "Retry-After: 1\r\nX-\x00Name: 1\r\n", lengthOf(body)}
-		answers[fmt.Sprintf("NUL in a name, status %d", status)] = Answer{Head: head.text(), Framed: body}
-		head.fields = fields + "Retry-After: 1\r\nX-Name : 1\r\n"
-		answers[fmt.Sprintf("blank in a name, status %d", status)] = Answer{Head: head.text(), Framed: body}
+	for char, field := range map[string]string{"NUL": "Li\x00nk", "blank": "Link "} {
+		answer := withLength(statusOK, fields, body)
+		answer.Head = "HTTP/1.1 103 Early Hints\r\n" + field + ": </a>\r\n\r\n" + answer.Head
+		answers[char+" in a name of an interim head"] = answer
 	}
 	return answers
 }
 
+// malformedFraming returns answers whose malformed field would say where the body ends.
+func malformedFraming(fields, body string) map[string]Answer {
+	chunks := chunk(body[:1], "") + chunk(body[1:], "") + "0\r\n\r\n"
+	half := strconv.Itoa(len(body)/2) + "\r\n"
+	return map[string]Answer{
+		"NUL after chunked coding":           {Head: statusOK + fields + "Transfer-Encoding\x00: chunked\r\n\r\n", Framed: chunks},
+		"blank after chunked coding":         {Head: statusOK + fields + "Transfer-Encoding : chunked\r\n\r\n", Framed: chunks},
+		"vertical tab before chunked coding": {Head: statusOK + fields + "\x0bTransfer-Encoding: chunked\r\n\r\n", Framed: chunks},
+		"DEL in chunked coding":              {Head: statusOK + fields + "Transfer-\x7fEncoding: chunked\r\n\r\n", Framed: chunks},
+		"chunked coding continues the status": {
+			Head: statusOK + " Transfer-Encoding: chunked\r\n" + fields + "\r\n", Framed: chunks,
+		},
+		"NUL after a length":             {Head: statusOK + fields + "Content-Length\x00: " + half + "\r\n", Framed: body},
+		"blank after a length":           {Head: statusOK + fields + "Content-Length : " + half + "\r\n", Framed: body},
+		"blank after one of two lengths": withLength(statusOK, fields+"Content-Length : "+half, body),
+	}
+}
+
 // MalformedValues returns answers by name that are sound but for a byte in the value of a field, or in the reason
 // phrase, that some parsers take for the end of the line (RFC 9110, 5.5).
 func MalformedValues(fields, body string) map[string]Answer {
-	const ok = "HTTP/1.1 200 OK\r\n"
 	answers := map[string]Answer{
-		"NUL in the reason phrase":    {Head: wholeHead{"HTTP/1.1 200 O\x00K\r\n", fields, lengthOf(body)}.text(), Framed: body},
-		"return in the reason phrase": {Head: wholeHead{"HTTP/1.1 200 OK\rX-Name: 1\r\n", fields, lengthOf(body)}.text(), Framed: body},
+		"NUL in the reason phrase":    withLength("HTTP/1.1 200 O\x00K\r\n", fields, body),
+		"return in the reason phrase": withLength("HTTP/1.1 200 OK\rX-Name: 1\r\n", fields, body),
 	}
 	for name, value := range map[string]string{
 		"NUL in a value": "a\x00b", "NUL last in a value": "a\x00", "return in a value": "a\rX-Other: b", "return last in a value": "a\r",
 	} {
-		answers[name] = Answer{Head: wholeHead{ok, fields + "X-Name: " + value + "\r\n", lengthOf(body)}.text(), Framed: body}
+		answers[name] = withLength(statusOK, fields+"X-Name: "+value+"\r\n", body)
 	}
 	return answers
 }
@@ -97,26 +103,27 @@
 // Odd returns answers with a body, by name, that servers seldom send, and that are valid.
 func Odd(fields, body string) map[string]Answer {
 	answers := Answers(fields, body)
-	for name, a := range answers {
-		if a.Empty || a.Method != http.MethodPost {
-			delete(answers, name)
-		}
-	}
-	const ok = "HTTP/1.1 200 OK\r\n"
-	for name, head := range map[string]wholeHead{
-		"all token characters": {ok, fields + "!#$%&'*+-.^_`|~0123456789AZaz: 1\r\n", lengthOf(body)},
-		"bytes over 0x7f":      {ok, fields + "X-Name: \x80caf\xc3\xa9\xff\r\n", lengthOf(body)},
-		"reason over 0x7f":     {"HTTP/1.1 200 \xc3\xa9\r\n", fields, lengthOf(body)},
-		"tab in a value":       {ok, fields + "X-Name:\ta\tb\t\r\n", lengthOf(body)},
-		"empty value":          {ok, fields + "X-Name:\r\n", lengthOf(body)},
+	maps.DeleteFunc(answers, func(_ string, a Answer) bool { return a.Empty || a.Method != http.MethodPost })
+	for name, field := range map[string]string{
+		"all token characters": "!#$%&'*+-.^_`|~0123456789AZaz: 1\r\n",
+		"bytes over 0x7f":      "X-Name: \x80caf\xc3\xa9\xff\r\n",
+		"tab in a value":       "X-Name:\ta\tb\t\r\n",
+		"empty value":          "X-Name:\r\n",
 	} {
-		answers[name] = Answer{Head: head.text(), Framed: body, Status: http.StatusOK, Method: http.MethodPost}
+		answers[name] = withLength(statusOK, fields+field, body)
 	}
+	answers["reason over 0x7f"] = withLength("HTTP/1.1 200 \xc3\xa9\r\n", fields, body)
 	for _, status := range []int{299, 599} {
-		head := wholeHead{fmt.Sprintf("HTTP/1.1 %d\r\n", status), fields, lengthOf(body)}
-		answers["status "+strconv.Itoa(status)] = Answer{Head: head.text(), Framed: body, Status: status, Method: http.MethodPost}
+		answer := withLength(fmt.Sprintf("HTTP/1.1 %d\r\n", status), fields, body)
+		answer.Status = status
+		answers["status "+strconv.Itoa(status)] = answer
 	}
 	return answers
 }
 
+// withLength returns an answer to a POST with a status line and a body of stated length.
+func withLength(statusLine, fields, body string) Answer {
+	return Answer{Head: statusLine + fields + lengthOf(body) + "\r\n", Framed: body, Method: http.MethodPost, Status: http.StatusOK}
+}
+
 func lengthOf(body string) string { return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n" }
