Refuse answers of another version of HTTP

What callers saw (tests at each reader): "HTTP/2.0 200" and "HTTP/0.9 200" on a connection of HTTP/1.1 were taken for answers by the store's client, the lists of instances and rollouts, and calls between instances.

Cause: net/http parses any version, and frames the body as HTTP/1.1 has it. httpclient asked for HTTP/1 before.

httptransport refuses an answer whose major version isn't that of its connections. So whether the connection is closed after a malformed head doesn't follow from that head any more.

Four versions are added to the malformed answers of each reader.

--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -1,6 +1,6 @@
 // Package httptransport has the transport of net/http for calls to the platform and to other instances. net/http
-// takes any status of three digits for one, 101 without an upgrade too, and keeps fields with a blank in their names,
-// which don't frame the body then. A [Transport] refuses such answers by the rule of [http1], which calls to backend
+// takes any status of three digits for one, 101 without an upgrade too, and any version, and keeps fields with a blank in
+// their names, which don't frame the body then. A [Transport] refuses such answers by the rule of [http1], which calls to backend
 // servers keep in internal/httpclient.
 //
 // The error of a refused answer is [ErrMalformed]. The call may have taken effect, as after any other error of an
@@ -26,7 +26,8 @@
 // ErrMalformed means that the head of an answer, or of an interim one before it, isn't HTTP.
 var ErrMalformed = merry.Sentinel("head of the answer is malformed")
 
-// Transport is a transport whose requests ask for no upgrade. It is safe for concurrent use.
+// Transport is a transport whose requests ask for no upgrade. Its connections have HTTP/1.1, or HTTP/2 without TLS if its
+// Protocols say so. It is safe for concurrent use.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements [http.RoundTripper].
@@ -47,10 +48,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	if err := checkHead(resp, t.major()); err != nil {
 		_ = resp.Body.Close()
 		// Where the body of a malformed head ends is unknown. HTTP/2 has frames for that.
-		if resp.ProtoMajor == 1 {
+		if t.major() == 1 {
 			_ = conn.Close()
 		}
 		return nil, err
@@ -58,8 +59,19 @@
 	return resp, nil
 }
 
-func checkHead(resp *http.Response) error {
-	if !http1.IsFinalStatus(resp.StatusCode) || !http1.IsFieldValue([]byte(resp.Status)) {
+// major returns the major version of HTTP on the connections.
+func (t Transport) major() int {
+	if p := t.Protocols; p != nil && p.UnencryptedHTTP2() {
+		return 2
+	}
+	return 1
+}
+
+func checkHead(resp *http.Response, major int) error {
+	switch {
+	case resp.ProtoMajor != major:
+		return merry.Wrap(ErrMalformed, merry.AppendMessagef("version %q", resp.Proto))
+	case !http1.IsFinalStatus(resp.StatusCode) || !http1.IsFieldValue([]byte(resp.Status)):
 		return merry.Wrap(ErrMalformed, merry.AppendMessagef("status %q", resp.Status))
 	}
 	return checkFields(resp.Header)
--- a/test/cutanswer/malformed.go
+++ b/test/cutanswer/malformed.go
@@ -28,8 +28,8 @@
 	return answers
 }
 
-// MalformedStatuses returns answers by name that are sound but for their status, which is none of RFC 9110, 15, or
-// answers an upgrade that nobody asked for.
+// MalformedStatuses returns answers by name that are sound but for their version, or for their status, which is none of
+// RFC 9110, 15, or answers an upgrade that nobody asked for.
 func MalformedStatuses(fields, body string) map[string]Answer {
 	const upgrade = "HTTP/1.1 101 Switching Protocols\r\n"
 	answers := map[string]Answer{
@@ -39,6 +39,9 @@
 	for _, status := range []string{"000", "001", "099", "600", "700", "999", "0200", "2000", "-20", "+20", "20", "2x0"} {
 		answers["status "+status] = withLength("HTTP/1.1 "+status+" Odd\r\n", fields, body)
 	}
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/1", "http/1.1"} {
+		answers["version "+version] = withLength(version+" 200 OK\r\n", fields, body)
+	}
 	return answers
 }
 
