Take an operators' server that has ended for shut down

Cause: Shutdown closes the listener first and then shuts the HTTP server down. The closed listener ends that server by itself, and if it has ended before the second step, the library says that it isn't running.

Shutdown takes a server whose Run has returned for shut down. The error of one that never ran stays.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -149,6 +149,8 @@
 	http   *server.Hertz
 	// operators has the connections.
 	operators *callerconn.Listener
+	// ended is closed when Run has returned.
+	ended chan struct{}
 }
 
 // New returns a server. It accepts no connections before [Server.Run].
@@ -157,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{opts: opts, tokens: tokens}
+	s := &Server{opts: opts, tokens: tokens, ended: make(chan struct{})}
 	s.opts.Log = opts.Log.With().Str("part", "operator").Logger()
 	s.operators, err = callerconn.NewListener(opts.Listener, callerconn.Options{
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, Account: opts.Connections, Class: connlimit.Internal,
@@ -184,6 +186,7 @@
 
 // Run serves operators until [Server.Shutdown].
 func (s *Server) Run() error {
+	defer close(s.ended)
 	if err := s.http.Run(); err != nil {
 		return merry.Prepend(err, "operators' listener")
 	}
@@ -193,10 +196,17 @@
 // Shutdown stops accepting connections and waits for running calls.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.operators.Shutdown(ctx)
-	if err := s.http.Shutdown(ctx); err != nil {
+	err := s.http.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	// Once its listener is closed, the server may have ended by itself.
+	select {
+	case <-s.ended:
+		return nil
+	case <-time.After(exitWait):
 		return merry.Prepend(err, "shut down operators' listener")
 	}
-	return nil
 }
 
 func (s *Server) routes() {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -128,3 +128,18 @@
 	require.NoError(t, err)
 	require.Equal(t, "error", got.Level)
 }
+
+// Guards against a shutdown that fails because the server has ended first, as it does once its listener is closed.
+func TestShutdownAfterTheEnd(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s, err := operator.New(operator.Options{Listener: listener, Config: &operatortest.Config{}, TokenSHA256: pollenspindle.Token(operatortest.Token)})
+	require.NoError(t, err)
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = s.Run() }()
+	status, _ := call(t, "GET", "http://"+listener.Addr().String()+"/health", "", "")
+	require.Equal(t, http.StatusOK, status)
+	require.NoError(t, listener.Close())
+	<-ended
+	require.NoError(t, s.Shutdown(t.Context()))
+}
